Lay down the design, the workspace and the shared interfaces

Ruled out: leased slot shares per instance (fractions of two slots over eight instances), searches without a lease by default.

Conclusion: the interfaces are fixed; the modules behind them follow.

--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Counts and histograms per member."""
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets for extra work, and latency estimates."""
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/config/_types.py
@@ -0,0 +1,117 @@
+"""Data classes of a validated configuration."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from functools import cached_property
+
+
+class ServiceMode(StrEnum):
+    """How a service may be asked."""
+
+    SEARCH = "search"
+    SUBMIT = "submit"
+
+
+class Preference(StrEnum):
+    """What a member weighs most in a search."""
+
+    LATENCY = "latency"
+    COVERAGE = "coverage"
+
+
+class WithoutQuorum(StrEnum):
+    """What instances do with searches when their lease has run out."""
+
+    REFUSE = "refuse"
+    SEARCH = "search"
+
+
+@dataclass(frozen=True)
+class DataCentreConfig:
+    """A data centre and whether its upstreams and instances may get work."""
+
+    name: str
+    in_service: bool = True
+
+
+@dataclass(frozen=True)
+class MemberConfig:
+    """A member and what it may use.
+
+    Attributes:
+        share: Weight of the member when upstreams are busy, relative to the others.
+        default_deadline_ms: Deadline of a request that states none.
+        max_deadline_ms: Longest deadline that a request may state.
+    """
+
+    name: str
+    share: float = 1.0
+    prefer: Preference = Preference.LATENCY
+    default_deadline_ms: int = 300
+    max_deadline_ms: int = 2000
+
+
+@dataclass(frozen=True)
+class ServiceConfig:
+    """A service: a group of searchers over the shards of an index.
+
+    Attributes:
+        group: Group of services that one search may ask together.
+        shards: Number of shards under each partitioning, by its name.
+        members: Members that may ask; empty for all.
+        canary: Whether a new query is tried on one shard before the others.
+    """
+
+    name: str
+    group: str
+    mode: ServiceMode
+    shards: dict[str, int]
+    members: tuple[str, ...] = ()
+    max_body_bytes: int = 65536
+    canary: bool = True
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """A whole operator file.
+
+    Attributes:
+        claim_retention_s: Time for which an idempotency key is remembered.
+    """
+
+    cluster: str
+    without_quorum: WithoutQuorum = WithoutQuorum.REFUSE
+    claim_retention_s: int = 86400
+    data_centres: tuple[DataCentreConfig, ...] = ()
+    members: tuple[MemberConfig, ...] = ()
+    services: tuple[ServiceConfig, ...] = field(default=())
+
+    @cached_property
+    def services_by_name(self) -> dict[str, ServiceConfig]:
+        """Services by their name."""
+        return {service.name: service for service in self.services}
+
+    @cached_property
+    def members_by_name(self) -> dict[str, MemberConfig]:
+        """Members by their name."""
+        return {member.name: member for member in self.members}
+
+    @cached_property
+    def groups(self) -> dict[str, tuple[ServiceConfig, ...]]:
+        """Services of each group."""
+        groups: dict[str, list[ServiceConfig]] = {}
+        for service in self.services:
+            groups.setdefault(service.group, []).append(service)
+        return {name: tuple(services) for name, services in groups.items()}
+
+    @cached_property
+    def data_centres_in_service(self) -> frozenset[str]:
+        """Names of the data centres that may get work."""
+        return frozenset(dc.name for dc in self.data_centres if dc.in_service)
+
+    def target(self, name: str) -> tuple[ServiceConfig, ...]:
+        """Return the services that a service or group name stands for, or ()."""
+        service = self.services_by_name.get(name)
+        if service is not None:
+            return (service,)
+        return self.groups.get(name, ())
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log over the disk instances."""
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/exceptions.py
@@ -0,0 +1,189 @@
+"""Exception tree of the library.
+
+Every message names what the reader can do about the error. Errors that end a
+request carry a :class:`RunState`, so that a caller knows whether to send it again.
+"""
+
+from enum import StrEnum
+
+__all__ = [
+    "ApplyConflictError",
+    "ConfigurationError",
+    "CorruptDataError",
+    "CuminbendError",
+    "DeadlineExceededError",
+    "DiskError",
+    "IdempotencyError",
+    "InvalidRequestError",
+    "LeaseExpiredError",
+    "NoQuorumError",
+    "NotLeaderError",
+    "OverloadedError",
+    "PeerUnreachableError",
+    "QuarantinedError",
+    "RequestFailedError",
+    "RunState",
+    "UnavailableError",
+    "UpstreamError",
+    "UpstreamErrorKind",
+]
+
+
+class RunState(StrEnum):
+    """Whether an upstream ran a request that failed."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class CuminbendError(Exception):
+    """Root of all errors raised by cuminbend."""
+
+
+class ConfigurationError(CuminbendError):
+    """An operator file or a settings file is not valid.
+
+    Attributes:
+        problems: One text per problem, each starting with its line number.
+    """
+
+    def __init__(self, problems: list[str]) -> None:
+        self.problems = problems
+        super().__init__("; ".join(problems))
+
+
+class ApplyConflictError(CuminbendError):
+    """An apply was based on a version that is no longer in force.
+
+    Attributes:
+        version_in_force: The version an operator has to look at before trying again.
+    """
+
+    def __init__(self, *, base_version: int, version_in_force: int) -> None:
+        self.version_in_force = version_in_force
+        super().__init__(
+            f"the file was based on version {base_version}, but version "
+            f"{version_in_force} is in force; look at it with 'cuminbendctl status' "
+            f"and apply again with --base-version {version_in_force}"
+        )
+
+
+class DiskError(CuminbendError):
+    """The data folder cannot be written."""
+
+
+class CorruptDataError(DiskError):
+    """A file of the data folder is damaged or belongs to another instance."""
+
+
+class NotLeaderError(CuminbendError):
+    """The voter asked is not the leader.
+
+    Attributes:
+        leader: Instance believed to lead, or None.
+    """
+
+    def __init__(self, leader: str | None = None) -> None:
+        self.leader = leader
+        super().__init__(f"not the leader; ask {leader or 'another voter'}")
+
+
+class NoQuorumError(CuminbendError):
+    """No majority of voters answered in time; the command may or may not be applied."""
+
+
+class PeerUnreachableError(CuminbendError):
+    """An instance did not answer.
+
+    Attributes:
+        sent: False only if no byte of the message can have left this process.
+    """
+
+    def __init__(self, instance: str, *, sent: bool) -> None:
+        self.instance = instance
+        self.sent = sent
+        super().__init__(
+            f"instance {instance} does not answer; check that it runs and that its "
+            "peer address is reachable from here"
+        )
+
+
+class RequestFailedError(CuminbendError):
+    """A caller's request or a shard request failed.
+
+    Attributes:
+        run_state: Whether an upstream ran it.
+        retry_after_ms: When a new attempt makes sense, or None if it never does.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        run_state: RunState = RunState.NOT_RUN,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        self.run_state = run_state
+        self.retry_after_ms = retry_after_ms
+        super().__init__(message)
+
+
+class InvalidRequestError(RequestFailedError):
+    """The request is malformed or names something that does not exist."""
+
+
+class IdempotencyError(RequestFailedError):
+    """The idempotency key is missing, too old, or was used with another body."""
+
+
+class LeaseExpiredError(RequestFailedError):
+    """This instance has no valid lease and sends no work to upstreams."""
+
+
+class UnavailableError(RequestFailedError):
+    """Nothing can serve the request at the moment."""
+
+
+class OverloadedError(RequestFailedError):
+    """A queue or budget is full, or the deadline cannot be met any more."""
+
+
+class QuarantinedError(RequestFailedError):
+    """The request crashed two upstreams and is refused everywhere."""
+
+
+class DeadlineExceededError(RequestFailedError):
+    """The deadline passed before an answer was complete."""
+
+
+class UpstreamErrorKind(StrEnum):
+    """How an exchange with an upstream failed."""
+
+    CONNECT = "connect"
+    SHED = "shed"
+    DRAINING = "draining"
+    RESET = "reset"
+    TIMEOUT = "timeout"
+    MISMATCH = "mismatch"
+    MALFORMED = "malformed"
+    FAILED = "failed"
+
+
+class UpstreamError(RequestFailedError):
+    """An exchange with one upstream failed.
+
+    Attributes:
+        kind: How it failed. CONNECT, SHED and DRAINING imply that nothing ran.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        kind: UpstreamErrorKind,
+        run_state: RunState,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        self.kind = kind
+        super().__init__(message, run_state=run_state, retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/ports/__init__.py
@@ -0,0 +1,18 @@
+"""Protocols through which the library reaches the outside."""
+
+from cuminbend.ports._clock import Clock, RandomSource, ms
+from cuminbend.ports._disk import Disk
+from cuminbend.ports._dispatch import ControlPort, ShardDispatcher, UpstreamTransport
+from cuminbend.ports._peers import ConsensusTransport, PollTransport
+
+__all__ = [
+    "Clock",
+    "ConsensusTransport",
+    "ControlPort",
+    "Disk",
+    "PollTransport",
+    "RandomSource",
+    "ShardDispatcher",
+    "UpstreamTransport",
+    "ms",
+]
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/ports/_peers.py
@@ -0,0 +1,34 @@
+"""Messages between instances."""
+
+from typing import Any, Protocol
+
+from cuminbend.messages import PollReply, PollRequest
+
+
+class ConsensusTransport(Protocol):
+    """Sends messages of the replicated log to another voter.
+
+    Requests and replies are the data classes of
+    :mod:`cuminbend.consensus`.
+    """
+
+    async def call(self, instance: str, request: Any, timeout_ms: float) -> Any:
+        """Send a request and return the reply.
+
+        Raises:
+            PeerUnreachableError: If no reply came within ``timeout_ms``.
+        """
+
+
+class PollTransport(Protocol):
+    """Sends polls to a voter, which forwards them if it does not lead."""
+
+    async def poll(
+        self, instance: str, request: PollRequest, timeout_ms: float
+    ) -> PollReply:
+        """Send a poll and return the leader's reply.
+
+        Raises:
+            PeerUnreachableError: If no reply came within ``timeout_ms``.
+            NotLeaderError: If the voter neither leads nor reaches the leader.
+        """
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/query/__init__.py
@@ -0,0 +1,1 @@
+"""Searches at the entry instance."""
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/replicated/__init__.py
@@ -0,0 +1,43 @@
+"""The deterministic state machine that the control log drives."""
+
+from cuminbend.replicated._commands import (
+    ApplyConfiguration,
+    ApplyResult,
+    ClaimOutcome,
+    ClaimResult,
+    ClaimStatus,
+    ClaimSubmit,
+    ClaimSuspectRun,
+    ClearSuspect,
+    Command,
+    CommandResult,
+    ConfigurationSummary,
+    CrashResult,
+    RecordCrash,
+    RecordOutcome,
+    decode_command,
+    decode_result,
+    encode_command,
+    encode_result,
+)
+
+__all__ = [
+    "ApplyConfiguration",
+    "ApplyResult",
+    "ClaimOutcome",
+    "ClaimResult",
+    "ClaimStatus",
+    "ClaimSubmit",
+    "ClaimSuspectRun",
+    "ClearSuspect",
+    "Command",
+    "CommandResult",
+    "ConfigurationSummary",
+    "CrashResult",
+    "RecordCrash",
+    "RecordOutcome",
+    "decode_command",
+    "decode_result",
+    "encode_command",
+    "encode_result",
+]
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, upstream registry and ownership of upstreams."""
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/submit/__init__.py
@@ -0,0 +1,1 @@
+"""Submits that run at most once."""
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of work to one upstream at its owner."""
--- /dev/null
+++ b/packages/cuminbendctl/src/cuminbendctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operator command of the cuminbend query tier."""
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/__init__.py
@@ -0,0 +1,1 @@
+"""Daemon of the cuminbend query tier: one instance."""
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages between instances; regenerate with ``make proto``."""
