Add the replicated control log

Configurations, claims and quarantine need one durable, agreed order over the disk instances.

First start: only the first initial voter by name writes the first entry, after all others answered that they are empty. Ruled out: every voter writing it, because two voters could then write different sets while a disk is replaced. An empty voter may vote once a peer's log names its disk; IdentifyReply carries the voters for this (new field 6).

--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/consensus/_core.py
@@ -0,0 +1,275 @@
+"""State of a replica that its parts share."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import anyio
+
+from cuminbend.consensus._base import StateMachine
+from cuminbend.consensus._messages import Entry, Voter
+from cuminbend.consensus._settings import ReplicaSettings
+from cuminbend.consensus._storage import LogStorage
+from cuminbend.exceptions import DiskError, NoQuorumError, NotLeaderError
+from cuminbend.ports import Clock, ConsensusTransport, RandomSource, ms
+
+logger = logging.getLogger(__name__)
+
+# A remainder below the resolution of timedelta (1 us) would make a loop spin.
+_MIN_SLEEP_MS = 0.1
+
+
+class Role(StrEnum):
+    """What a replica does in its current term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(slots=True, eq=False)
+class Proposal:
+    """An entry to be committed and the caller that waits for its result."""
+
+    kind: str
+    data: bytes
+    done: anyio.Event = field(default_factory=anyio.Event)
+    result: bytes = b""
+    error: Exception | None = None
+
+    def succeed(self, result: bytes) -> None:
+        """Give the caller the result of the state machine."""
+        self.result = result
+        self.done.set()
+
+    def fail(self, error: Exception) -> None:
+        """Give the caller an error."""
+        self.error = error
+        self.done.set()
+
+
+class ReplicaCore:
+    """Term, role, voters and commit index of a replica.
+
+    ``lock`` is held by whoever changes the files; memory is only changed between two
+    awaits. ``changed`` is a broadcast: every task that waits re-examines the state.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: ReplicaSettings,
+        storage: LogStorage,
+        transport: ConsensusTransport,
+        clock: Clock,
+        random: RandomSource,
+        state_machine: StateMachine,
+    ) -> None:
+        self.settings = settings
+        self.storage = storage
+        self.transport = transport
+        self.clock = clock
+        self.random = random
+        self.state_machine = state_machine
+        self.lock = anyio.Lock()
+        self.started = False
+        self.role = Role.FOLLOWER
+        self.leader: str | None = None
+        self.led_since_ms: float | None = None
+        self.heard_leader_ms = 0.0
+        self.commit_index = 0
+        self.hinted_voters: tuple[Voter, ...] = ()
+        self.disk_works = True
+        self.transfer_term = 0
+        self._waiting: dict[int, tuple[int, Proposal]] = {}
+        self._changed = anyio.Event()
+
+    async def start(self) -> None:
+        """Recover the state from disk."""
+        if not self.storage.is_open:
+            await self.storage.open()
+        if self.storage.snapshot is not None:
+            self.state_machine.restore(self.storage.snapshot.data)
+            self.commit_index = self.storage.snapshot.index
+        # A voter that restarts may have heard from a leader just before, so it keeps
+        # its promise not to vote within the minimum election timeout.
+        self.heard_leader_ms = self.clock.monotonic_ms()
+        self.started = True
+
+    # Waiting
+
+    def notify(self) -> None:
+        """Wake every task that waits for a change."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def wait_changed(self, timeout_ms: float) -> None:
+        """Return on the next change, or after ``timeout_ms``."""
+        await self.wait(self._changed, timeout_ms)
+
+    async def wait(self, event: anyio.Event, timeout_ms: float) -> bool:
+        """Return whether ``event`` is set within ``timeout_ms``."""
+        async with anyio.create_task_group() as group:
+
+            async def expire() -> None:
+                await self.clock.sleep(ms(max(timeout_ms, _MIN_SLEEP_MS)))
+                group.cancel_scope.cancel()
+
+            group.start_soon(expire)
+            await event.wait()
+            group.cancel_scope.cancel()
+        return event.is_set()
+
+    async def wait_until(self, ready: Callable[[], bool], timeout_ms: float) -> bool:
+        """Return whether ``ready`` becomes true within ``timeout_ms``."""
+        end_ms = self.clock.monotonic_ms() + timeout_ms
+        while not ready():
+            remaining_ms = end_ms - self.clock.monotonic_ms()
+            if remaining_ms <= 0:
+                return False
+            await self.wait_changed(remaining_ms)
+        return True
+
+    # Identity
+
+    @property
+    def me(self) -> Voter:
+        """This instance with its disk."""
+        return Voter(self.settings.instance, self.storage.disk_id)
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this disk is among the latest voters of the log."""
+        return self.me in self.storage.voters
+
+    @property
+    def may_vote(self) -> bool:
+        """Whether this disk may grant votes.
+
+        A disk with an empty log may when a peer's log names it as a voter: that log
+        was written by this cluster's first start.
+        """
+        if self.storage.empty:
+            return self.me in self.hinted_voters
+        return self.is_voter
+
+    @property
+    def hears_leader(self) -> bool:
+        """Whether a live leader was heard within the minimum election timeout."""
+        if self.role is Role.LEADER:
+            return True
+        silent_ms = self.clock.monotonic_ms() - self.heard_leader_ms
+        return silent_ms < self.settings.election_timeout_min_ms
+
+    # Role; the lock must be held where a file is written
+
+    async def adopt_term(self, term: int) -> None:
+        """Enter a later term as a follower.
+
+        Raises:
+            DiskError: If the term cannot be persisted; a leader steps down even so.
+        """
+        self.step_down()
+        self.leader = None
+        await self.storage.save_vote(term, None)
+        self.notify()
+
+    async def observe_term(self, term: int) -> None:
+        """Enter the term of a reply if it is later than the own one."""
+        if term <= self.storage.term:
+            return
+        async with self.lock:
+            if term > self.storage.term:
+                try:
+                    await self.adopt_term(term)
+                except DiskError as error:
+                    self.report_disk_error(error)
+
+    def step_down(self) -> None:
+        """Stop leading or standing for election."""
+        if self.role is Role.LEADER:
+            self.leader = None
+            logger.info(
+                "event=step_down instance=%s term=%d",
+                self.settings.instance,
+                self.storage.term,
+            )
+        self.role = Role.FOLLOWER
+        self.led_since_ms = None
+        self.notify()
+
+    def follow(self, leader: str) -> None:
+        """Note a message of the leader of the current term."""
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self.heard_leader_ms = self.clock.monotonic_ms()
+        self.notify()
+
+    def become_leader(self) -> None:
+        """Lead the current term."""
+        self.role = Role.LEADER
+        self.leader = self.settings.instance
+        self.led_since_ms = self.clock.monotonic_ms()
+        logger.info(
+            "event=elected instance=%s term=%d last_index=%d",
+            self.settings.instance,
+            self.storage.term,
+            self.storage.last_index,
+        )
+        self.notify()
+
+    def report_disk_error(self, error: DiskError) -> None:
+        """Note a failed write; the replica does not stand for election until one works.
+
+        Otherwise a voter with a full disk could win elections that it cannot use.
+        """
+        self.disk_works = False
+        logger.error(
+            "event=disk_error instance=%s error=%s", self.settings.instance, error
+        )
+
+    # Commit
+
+    def expect(self, entry: Entry, proposal: Proposal) -> None:
+        """Give ``proposal`` the result of ``entry`` once that is applied."""
+        self._waiting[entry.index] = (entry.term, proposal)
+
+    def advance_commit(self, index: int) -> None:
+        """Apply entries up to ``index``, which are known to be committed."""
+        if index <= self.commit_index:
+            return
+        for entry in self.storage.entries(
+            self.commit_index + 1, index - self.commit_index
+        ):
+            self._apply(entry)
+        self.notify()
+
+    def _apply(self, entry: Entry) -> None:
+        result = b""
+        if entry.kind == "command":
+            result = self.state_machine.apply(
+                entry.kind, entry.data, entry.proposed_at_ms
+            )
+        self.commit_index = entry.index
+        term, proposal = self._waiting.pop(entry.index, (0, None))
+        if proposal is None:
+            return
+        if term == entry.term:
+            proposal.succeed(result)
+        else:
+            # Another leader's entry took this place: the proposal is not in the log.
+            proposal.fail(NotLeaderError(self.leader))
+
+    def restore_snapshot(self) -> None:
+        """Continue from the snapshot that has just been stored."""
+        snapshot = self.storage.snapshot
+        assert snapshot is not None
+        self.state_machine.restore(snapshot.data)
+        self.commit_index = snapshot.index
+        for index in [i for i in self._waiting if i <= snapshot.index]:
+            _, proposal = self._waiting.pop(index)
+            proposal.fail(
+                NoQuorumError("the entry was replaced by a snapshot; ask for its state")
+            )
+        self.notify()
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/consensus/_election.py
@@ -0,0 +1,131 @@
+"""Election of a leader: pre-vote, vote, and answers to both."""
+
+import logging
+
+import anyio
+
+from cuminbend.consensus._base import majority
+from cuminbend.consensus._core import ReplicaCore, Role
+from cuminbend.consensus._messages import Voter, VoteReply, VoteRequest
+from cuminbend.exceptions import CuminbendError, DiskError
+
+logger = logging.getLogger(__name__)
+
+
+async def campaign(core: ReplicaCore, *, transfer: bool = False) -> None:
+    """Stand for election once.
+
+    Args:
+        core: State of the replica, which must be a voter.
+        transfer: The former leader asked for it, so its followers vote at once and
+            the pre-vote is left out.
+    """
+    heard_leader_ms = core.heard_leader_ms
+    term = core.storage.term + 1
+    if not transfer:
+        core.leader = None
+        if not await _collect_votes(core, term=term, pre_vote=True, transfer=False):
+            return
+    async with core.lock:
+        if core.storage.term + 1 != term or not core.is_voter:
+            return
+        if core.heard_leader_ms != heard_leader_ms and not transfer:
+            return
+        try:
+            await core.storage.save_vote(term, core.me)
+        except DiskError as error:
+            core.report_disk_error(error)
+            return
+        core.role = Role.CANDIDATE
+        core.leader = None
+    if not await _collect_votes(core, term=term, pre_vote=False, transfer=transfer):
+        return
+    if core.storage.term == term and core.role is Role.CANDIDATE:
+        core.become_leader()
+
+
+async def _collect_votes(
+    core: ReplicaCore, *, term: int, pre_vote: bool, transfer: bool
+) -> bool:
+    """Ask all voters and return whether a majority grants its vote."""
+    voters = core.storage.voters
+    request = VoteRequest(
+        pre_vote=pre_vote,
+        term=term,
+        candidate=core.settings.instance,
+        last_index=core.storage.last_index,
+        last_term=core.storage.last_term,
+        disk_id=core.storage.disk_id,
+        transfer=transfer,
+    )
+    granted = {core.me}
+    async with anyio.create_task_group() as group:
+
+        async def ask(instance: str) -> None:
+            reply = await _request_vote(core, instance, request)
+            if reply is None:
+                return
+            voter = Voter(instance, reply.disk_id)
+            if reply.granted and voter in voters:
+                granted.add(voter)
+            elif reply.term > core.storage.term:
+                await core.observe_term(reply.term)
+                group.cancel_scope.cancel()
+            if len(granted) >= majority(len(voters)):
+                group.cancel_scope.cancel()
+
+        for instance in sorted({voter.instance for voter in voters}):
+            if instance != core.settings.instance:
+                group.start_soon(ask, instance)
+    return len(granted) >= majority(len(voters))
+
+
+async def _request_vote(
+    core: ReplicaCore, instance: str, request: VoteRequest
+) -> VoteReply | None:
+    try:
+        reply = await core.transport.call(
+            instance, request, core.settings.rpc_timeout_ms
+        )
+    except CuminbendError:
+        return None
+    return reply if isinstance(reply, VoteReply) else None
+
+
+async def handle_vote(core: ReplicaCore, request: VoteRequest) -> VoteReply:
+    """Answer a vote request; a granted vote is on disk before the reply."""
+    async with core.lock:
+        granted = _may_grant(core, request)
+        if granted and not request.pre_vote:
+            granted = await _vote(core, request)
+        return VoteReply(core.storage.term, granted, core.storage.disk_id)
+
+
+def _may_grant(core: ReplicaCore, request: VoteRequest) -> bool:
+    """Return whether nothing but a vote already given speaks against granting."""
+    storage = core.storage
+    if not core.may_vote:
+        return False
+    if core.hears_leader and not request.transfer:
+        return False
+    if request.pre_vote:
+        return request.term > storage.term and _is_up_to_date(core, request)
+    return request.term >= storage.term
+
+
+def _is_up_to_date(core: ReplicaCore, request: VoteRequest) -> bool:
+    own = (core.storage.last_term, core.storage.last_index)
+    return (request.last_term, request.last_index) >= own
+
+
+async def _vote(core: ReplicaCore, request: VoteRequest) -> bool:
+    storage = core.storage
+    candidate = Voter(request.candidate, request.disk_id)
+    up_to_date = _is_up_to_date(core, request)
+    if request.term > storage.term:
+        core.step_down()
+        await storage.save_vote(request.term, candidate if up_to_date else None)
+        core.leader = None
+    elif up_to_date and storage.voted_for is None:
+        await storage.save_vote(request.term, candidate)
+    return up_to_date and storage.voted_for == candidate
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/consensus/_following.py
@@ -0,0 +1,151 @@
+"""What a follower or learner does: take entries and snapshots of the leader."""
+
+import logging
+
+from cuminbend.consensus._core import ReplicaCore
+from cuminbend.consensus._messages import (
+    AppendReply,
+    AppendRequest,
+    Entry,
+    SnapshotReply,
+    SnapshotRequest,
+)
+from cuminbend.consensus._storage import LogSnapshot
+from cuminbend.exceptions import CorruptDataError, DiskError
+from cuminbend.ports import ms
+
+logger = logging.getLogger(__name__)
+
+_IDLE_MS = 60_000
+
+
+async def handle_append(core: ReplicaCore, request: AppendRequest) -> AppendReply:
+    """Write the entries of the leader and answer once they are synced."""
+    async with core.lock:
+        if not await _accept_leader(core, request.term, request.leader):
+            return _reply(core, request, success=False, last_index=0)
+        conflict = _find_conflict(core, request)
+        if conflict is not None:
+            return _reply(core, request, success=False, last_index=conflict)
+        try:
+            await _write(core, request.entries)
+        except DiskError as error:
+            # The leader is alive all the same: the reply confirms it, so leases of
+            # instances are renewed although nothing can be committed here.
+            core.report_disk_error(error)
+            last_index = core.storage.last_index
+            return _reply(core, request, success=False, last_index=last_index)
+        last_index = request.prev_index + len(request.entries)
+        core.advance_commit(min(request.commit_index, last_index))
+        return _reply(core, request, success=True, last_index=last_index)
+
+
+async def _accept_leader(core: ReplicaCore, term: int, leader: str) -> bool:
+    """Return whether a message is of the current leader, and note that it lives."""
+    if term < core.storage.term:
+        return False
+    if term > core.storage.term:
+        await core.adopt_term(term)
+    core.follow(leader)
+    return True
+
+
+def _reply(
+    core: ReplicaCore, request: AppendRequest, *, success: bool, last_index: int
+) -> AppendReply:
+    snapshot = core.storage.snapshot
+    return AppendReply(
+        term=core.storage.term,
+        success=success,
+        last_index=last_index,
+        round=request.round,
+        disk_id=core.storage.disk_id,
+        snapshot_index=snapshot.index if snapshot else 0,
+    )
+
+
+def _find_conflict(core: ReplicaCore, request: AppendRequest) -> int | None:
+    """Return None if the log holds the entry before those sent.
+
+    Otherwise returns the last index that may match: the end of the log, or the entry
+    before the first one of the conflicting term, so that one message skips a term.
+    """
+    storage = core.storage
+    if request.prev_index > storage.last_index:
+        return storage.last_index
+    if request.prev_index <= core.commit_index:
+        return None
+    term = storage.term_at(request.prev_index)
+    if term == request.prev_term:
+        return None
+    index = request.prev_index
+    while index > core.commit_index and storage.term_at(index) == term:
+        index -= 1
+    return index
+
+
+async def _write(core: ReplicaCore, entries: tuple[Entry, ...]) -> None:
+    """Append the entries that the log lacks, after removing those that conflict.
+
+    Entries that are present are left alone: a delayed message may end before the log
+    does, and what follows may have been acknowledged since.
+    """
+    storage = core.storage
+    for position, entry in enumerate(entries):
+        term = storage.term_at(entry.index)
+        if entry.index <= core.commit_index:
+            if term is not None and term != entry.term:
+                raise CorruptDataError(
+                    f"the leader's entry {entry.index} differs from the committed one; "
+                    "check that all instances name the same initial voters"
+                )
+            continue
+        if entry.index <= storage.last_index and term == entry.term:
+            continue
+        if entry.index <= storage.last_index:
+            await storage.truncate_from(entry.index)
+        await storage.append(entries[position:])
+        core.disk_works = True
+        return
+
+
+async def handle_snapshot(core: ReplicaCore, request: SnapshotRequest) -> SnapshotReply:
+    """Replace log and state machine by a snapshot unless they are as far already."""
+    async with core.lock:
+        if not await _accept_leader(core, request.term, request.leader):
+            return SnapshotReply(core.storage.term, 0, core.storage.disk_id)
+        if request.last_index > core.commit_index:
+            snapshot = LogSnapshot(
+                request.last_index, request.last_term, request.voters, request.data
+            )
+            await core.storage.save_snapshot(snapshot)
+            core.restore_snapshot()
+            core.follow(request.leader)
+        return SnapshotReply(core.storage.term, core.commit_index, core.storage.disk_id)
+
+
+async def take_snapshot(core: ReplicaCore) -> None:
+    """Store a snapshot whenever enough entries have been applied since the last."""
+    while True:
+        if not _snapshot_due(core):
+            await core.wait_until(lambda: _snapshot_due(core), _IDLE_MS)
+            continue
+        try:
+            async with core.lock:
+                index = core.commit_index
+                snapshot = LogSnapshot(
+                    index=index,
+                    term=core.storage.term_at(index) or 0,
+                    voters=core.storage.voters_at(index),
+                    data=core.state_machine.snapshot(),
+                )
+                await core.storage.save_snapshot(snapshot)
+        except DiskError as error:
+            core.report_disk_error(error)
+            await core.clock.sleep(ms(core.settings.disk_retry_ms))
+
+
+def _snapshot_due(core: ReplicaCore) -> bool:
+    snapshot = core.storage.snapshot
+    applied = core.commit_index - (snapshot.index if snapshot else 0)
+    return applied >= core.settings.snapshot_after_entries
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/consensus/_leadership.py
@@ -0,0 +1,455 @@
+"""What a leader does: write, replicate, commit, change voters, hand over."""
+
+import logging
+import math
+from collections import deque
+from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
+
+import anyio
+from anyio.abc import TaskGroup
+
+from cuminbend.consensus._base import encode_voters, majority
+from cuminbend.consensus._core import Proposal, ReplicaCore, Role
+from cuminbend.consensus._messages import (
+    AppendReply,
+    AppendRequest,
+    Entry,
+    SnapshotReply,
+    SnapshotRequest,
+    TimeoutNowRequest,
+    Voter,
+)
+from cuminbend.exceptions import (
+    CuminbendError,
+    DiskError,
+    NoQuorumError,
+    NotLeaderError,
+)
+
+logger = logging.getLogger(__name__)
+
+_EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
+
+
+@dataclass(slots=True)
+class Peer:
+    """What the leader knows of another instance.
+
+    Attributes:
+        disk_id: Disk that the instance reported last; empty before the first reply.
+        match_index: Last entry known to be on that disk.
+        acknowledged_ms: When the latest message that it answered was sent.
+        failures: Messages without an answer since the last one answered.
+    """
+
+    instance: str
+    next_index: int
+    disk_id: str = ""
+    match_index: int = 0
+    acknowledged_ms: float = -math.inf
+    last_contact_ms: float = -math.inf
+    round: int = 0
+
+    def note_reply(self, disk_id: str, *, sent_ms: float, now_ms: float) -> None:
+        """Note an answer in the leader's term; another disk starts from nothing."""
+        if disk_id != self.disk_id:
+            self.disk_id = disk_id
+            self.match_index = 0
+            self.acknowledged_ms = -math.inf
+        self.acknowledged_ms = max(self.acknowledged_ms, sent_ms)
+        self.last_contact_ms = now_ms
+
+
+class Leadership:
+    """One term of leadership; all methods are for use while it lasts."""
+
+    def __init__(self, core: ReplicaCore) -> None:
+        self._core = core
+        self._storage = core.storage
+        self.term = core.storage.term
+        self.peers: dict[str, Peer] = {}
+        self._pending: deque[Proposal] = deque([Proposal("noop", b"")])
+        self._first_index = core.storage.last_index + 1
+        self._started_ms = core.clock.monotonic_ms()
+        self._transferring = False
+
+    @property
+    def active(self) -> bool:
+        """Whether the replica still leads this term."""
+        return self._core.role is Role.LEADER and self._storage.term == self.term
+
+    async def run(self) -> None:
+        """Lead until the replica steps down."""
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._write_proposals)
+                group.start_soon(self._supervise, group)
+                while self.active:
+                    await self._core.wait_changed(self._core.settings.heartbeat_ms)
+                group.cancel_scope.cancel()
+        finally:
+            for proposal in self._pending:
+                proposal.fail(NotLeaderError(self._core.leader))
+            self._pending.clear()
+
+    # Proposals
+
+    async def propose(self, data: bytes, timeout_ms: float) -> bytes:
+        """Commit a command and return its result; see :meth:`Replica.propose`."""
+        core = self._core
+        if not self.active or self._transferring or not core.disk_works:
+            raise NotLeaderError(None if self.active else core.leader)
+        uncommitted = self._storage.last_index - core.commit_index + len(self._pending)
+        if uncommitted >= core.settings.max_uncommitted_entries:
+            raise NotLeaderError(None)
+        proposal = Proposal("command", data)
+        self._pending.append(proposal)
+        core.notify()
+        try:
+            if not await core.wait(proposal.done, timeout_ms):
+                raise NoQuorumError(
+                    f"no majority of voters wrote the command within {timeout_ms:.0f} "
+                    "ms; it may still be applied, so send it again with the same id"
+                )
+        finally:
+            if proposal in self._pending:
+                self._pending.remove(proposal)
+        if proposal.error is not None:
+            raise proposal.error
+        return proposal.result
+
+    async def _write_proposals(self) -> None:
+        """Append what has arrived; what arrives during a sync forms the next batch."""
+        core = self._core
+        while True:
+            if not self._pending:
+                await core.wait_until(
+                    lambda: bool(self._pending), core.settings.heartbeat_ms
+                )
+                continue
+            async with core.lock:
+                if not self.active:
+                    return
+                await self._write_batch()
+            core.notify()
+
+    async def _write_batch(self) -> None:
+        core = self._core
+        batch = self._take_batch()
+        at_ms = (core.clock.now() - _EPOCH) / timedelta(milliseconds=1)
+        start = self._storage.last_index + 1
+        entries = [
+            Entry(start + offset, self.term, proposal.kind, proposal.data, at_ms)
+            for offset, proposal in enumerate(batch)
+        ]
+        try:
+            await self._storage.append(entries)
+        except DiskError as error:
+            core.report_disk_error(error)
+            for proposal in batch:
+                self._discard(proposal)
+                proposal.fail(
+                    NoQuorumError(f"the leader could not write the command: {error}")
+                )
+            core.step_down()
+            return
+        for entry, proposal in zip(entries, batch, strict=True):
+            self._discard(proposal)
+            core.expect(entry, proposal)
+        self._advance_commit()
+
+    def _take_batch(self) -> list[Proposal]:
+        limit = self._core.settings.max_batch_entries
+        return list(self._pending)[:limit]
+
+    def _discard(self, proposal: Proposal) -> None:
+        if proposal in self._pending:
+            self._pending.remove(proposal)
+
+    # Commit and confirmation
+
+    def _match_index(self, voter: Voter) -> int:
+        if voter == self._core.me:
+            return self._storage.last_index
+        peer = self.peers.get(voter.instance)
+        return peer.match_index if peer and peer.disk_id == voter.disk_id else 0
+
+    def _acknowledged_ms(self, voter: Voter) -> float:
+        if voter == self._core.me:
+            return self._core.clock.monotonic_ms()
+        peer = self.peers.get(voter.instance)
+        if peer is None or peer.disk_id != voter.disk_id:
+            return -math.inf
+        return peer.acknowledged_ms
+
+    def _majority_acknowledged_ms(self, voters: tuple[Voter, ...]) -> float:
+        """Return when the latest messages that a majority answered were sent."""
+        times = sorted(map(self._acknowledged_ms, voters), reverse=True)
+        return times[majority(len(times)) - 1]
+
+    def _advance_commit(self) -> None:
+        """Commit what a majority has on disk.
+
+        Only an entry of the own term is committed by counting; it commits those
+        before it. An entry of a former term could still be replaced by a later
+        leader even though a majority has it.
+        """
+        voters = self._storage.voters
+        indexes = sorted(map(self._match_index, voters), reverse=True)
+        index = indexes[majority(len(indexes)) - 1]
+        if self.active and self._storage.term_at(index) == self.term:
+            self._core.advance_commit(index)
+
+    @property
+    def established(self) -> bool:
+        """Whether an entry of this term is committed."""
+        return self.active and self._core.commit_index >= self._first_index
+
+    def confirmed_at_ms(self) -> float | None:
+        """Return when the last round that a majority acknowledged was started."""
+        if not self.established:
+            return None
+        confirmed_ms = self._majority_acknowledged_ms(self._storage.voters)
+        return confirmed_ms if confirmed_ms > -math.inf else None
+
+    # Replication, one task per peer
+
+    async def _supervise(self, group: TaskGroup) -> None:
+        """Start the task of each peer, watch the majority, and change the voters."""
+        core = self._core
+        while True:
+            instances = {voter.instance for voter in self._storage.voters}
+            instances.update(core.settings.initial_voters)
+            instances.discard(core.settings.instance)
+            for instance in sorted(instances - self.peers.keys()):
+                peer = Peer(instance, next_index=self._storage.last_index + 1)
+                self.peers[instance] = peer
+                group.start_soon(self._replicate, peer)
+            self._check_majority()
+            self._change_voters()
+            await core.wait_changed(core.settings.heartbeat_ms)
+
+    def _check_majority(self) -> None:
+        """Step down if no majority has answered for an election timeout."""
+        core = self._core
+        confirmed_ms = self._majority_acknowledged_ms(self._storage.voters)
+        silent_ms = core.clock.monotonic_ms() - max(confirmed_ms, self._started_ms)
+        if silent_ms > core.settings.election_timeout_max_ms and self.active:
+            logger.warning(
+                "event=majority_lost instance=%s term=%d silent_ms=%.0f",
+                core.settings.instance,
+                self.term,
+                silent_ms,
+            )
+            core.step_down()
+
+    async def _replicate(self, peer: Peer) -> None:
+        core = self._core
+        while True:
+            try:
+                progress = await self._exchange(peer)
+            except CuminbendError as error:
+                logger.debug(
+                    "event=peer_failed instance=%s peer=%s error=%s",
+                    core.settings.instance,
+                    peer.instance,
+                    error,
+                )
+                await core.clock.sleep(
+                    timedelta(milliseconds=core.settings.heartbeat_ms)
+                )
+                continue
+            if not progress:
+                await core.clock.sleep(
+                    timedelta(milliseconds=core.settings.heartbeat_ms)
+                )
+            else:
+                await core.wait_until(
+                    lambda: peer.next_index <= self._storage.last_index,
+                    core.settings.heartbeat_ms,
+                )
+
+    async def _exchange(self, peer: Peer) -> bool:
+        """Send one message; return False if sending more at once is pointless."""
+        prev_index = peer.next_index - 1
+        prev_term = self._storage.term_at(prev_index)
+        if prev_term is None or peer.next_index < self._storage.first_index:
+            return await self._send_snapshot(peer)
+        core = self._core
+        peer.round += 1
+        request = AppendRequest(
+            term=self.term,
+            leader=core.settings.instance,
+            prev_index=prev_index,
+            prev_term=prev_term,
+            entries=self._next_entries(peer),
+            commit_index=core.commit_index,
+            round=peer.round,
+            disk_id=self._storage.disk_id,
+        )
+        sent_ms = core.clock.monotonic_ms()
+        reply = await core.transport.call(
+            peer.instance, request, core.settings.rpc_timeout_ms
+        )
+        if not isinstance(reply, AppendReply) or reply.round != request.round:
+            return False
+        return await self._on_append_reply(peer, request, reply, sent_ms)
+
+    def _next_entries(self, peer: Peer) -> tuple[Entry, ...]:
+        settings = self._core.settings
+        entries = self._storage.entries(peer.next_index, settings.max_batch_entries)
+        size_bytes = 0
+        for count, entry in enumerate(entries):
+            size_bytes += len(entry.data)
+            if size_bytes > settings.max_batch_bytes and count:
+                return entries[:count]
+        return entries
+
+    async def _on_append_reply(
+        self, peer: Peer, request: AppendRequest, reply: AppendReply, sent_ms: float
+    ) -> bool:
+        if not await self._note_reply(peer, reply, sent_ms):
+            return False
+        if reply.success:
+            peer.match_index = max(peer.match_index, reply.last_index)
+            peer.next_index = peer.match_index + 1
+            self._advance_commit()
+            self._core.notify()
+            return True
+        next_index = max(1, min(request.prev_index, reply.last_index + 1))
+        steps_back = next_index < peer.next_index
+        peer.next_index = next_index
+        return steps_back
+
+    async def _note_reply(
+        self, peer: Peer, reply: AppendReply | SnapshotReply, sent_ms: float
+    ) -> bool:
+        if reply.term > self.term:
+            await self._core.observe_term(reply.term)
+            return False
+        if reply.term < self.term or not self.active:
+            return False
+        now_ms = self._core.clock.monotonic_ms()
+        peer.note_reply(reply.disk_id, sent_ms=sent_ms, now_ms=now_ms)
+        return True
+
+    async def _send_snapshot(self, peer: Peer) -> bool:
+        snapshot = self._storage.snapshot
+        assert snapshot is not None
+        core = self._core
+        request = SnapshotRequest(
+            term=self.term,
+            leader=core.settings.instance,
+            last_index=snapshot.index,
+            last_term=snapshot.term,
+            voters=snapshot.voters,
+            data=snapshot.data,
+        )
+        sent_ms = core.clock.monotonic_ms()
+        reply = await core.transport.call(
+            peer.instance, request, core.settings.snapshot_timeout_ms
+        )
+        if not isinstance(reply, SnapshotReply):
+            return False
+        if not await self._note_reply(peer, reply, sent_ms):
+            return False
+        if reply.last_index < snapshot.index:
+            return False
+        peer.match_index = max(peer.match_index, snapshot.index)
+        peer.next_index = peer.match_index + 1
+        core.notify()
+        return True
+
+    # Membership
+
+    def _change_voters(self) -> None:
+        """Propose the next change of the voters by one, if one is due."""
+        if not self.established or self._storage.voters_index > self._core.commit_index:
+            return
+        if any(proposal.kind == "voters" for proposal in self._pending):
+            return
+        voters = self._superseded_removed() or self._caught_up_added()
+        if voters is None:
+            return
+        logger.info(
+            "event=voters_change instance=%s term=%d voters=%s",
+            self._core.settings.instance,
+            self.term,
+            ",".join(f"{v.instance}/{v.disk_id}" for v in voters),
+        )
+        self._pending.append(Proposal("voters", encode_voters(voters)))
+        self._core.notify()
+
+    def _superseded_removed(self) -> tuple[Voter, ...] | None:
+        """Return the voters without one disk that its instance no longer has."""
+        voters = self._storage.voters
+        current = {self._core.me}
+        current.update(Voter(p.instance, p.disk_id) for p in self.peers.values())
+        replaced = {v.instance for v in voters if v in current}
+        for voter in voters:
+            if voter.instance in replaced and voter not in current:
+                return tuple(v for v in voters if v != voter)
+        return None
+
+    def _caught_up_added(self) -> tuple[Voter, ...] | None:
+        """Return the voters with one more that has all committed entries."""
+        voters = self._storage.voters
+        for instance in sorted(self.peers):
+            peer = self.peers[instance]
+            learner = Voter(peer.instance, peer.disk_id)
+            if not peer.disk_id or learner in voters:
+                continue
+            if peer.match_index < self._core.commit_index:
+                continue
+            extended = tuple(sorted((*voters, learner)))
+            # An entry that cannot be committed would block later changes.
+            if self._is_reachable(extended):
+                return extended
+        return None
+
+    def _is_reachable(self, voters: tuple[Voter, ...]) -> bool:
+        silent_ms = self._core.clock.monotonic_ms() - self._majority_acknowledged_ms(
+            voters
+        )
+        return silent_ms < self._core.settings.election_timeout_min_ms
+
+    # Handover
+
+    async def transfer(self) -> bool:
+        """Hand over to the voter that is furthest; return whether it took over."""
+        core = self._core
+        voters = self._storage.voters
+        candidates = [
+            peer
+            for peer in self.peers.values()
+            if Voter(peer.instance, peer.disk_id) in voters
+        ]
+        if not candidates:
+            return False
+        target = max(
+            candidates, key=lambda peer: (peer.match_index, peer.acknowledged_ms)
+        )
+        self._transferring = True
+        try:
+            await core.wait_until(
+                lambda: (
+                    target.match_index == self._storage.last_index or not self.active
+                ),
+                core.settings.election_timeout_min_ms,
+            )
+            if not self.active or target.match_index < self._storage.last_index:
+                return not self.active
+            await core.transport.call(
+                target.instance,
+                TimeoutNowRequest(self.term),
+                core.settings.rpc_timeout_ms,
+            )
+        except CuminbendError:
+            return not self.active
+        else:
+            return await core.wait_until(
+                lambda: not self.active, core.settings.election_timeout_min_ms
+            )
+        finally:
+            self._transferring = False
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/consensus/_replica.py
@@ -0,0 +1,288 @@
+"""One voter of the control log."""
+
+import logging
+from functools import singledispatchmethod
+from typing import Any
+
+import anyio
+
+from cuminbend.consensus._base import StateMachine
+from cuminbend.consensus._core import ReplicaCore, Role
+from cuminbend.consensus._election import campaign, handle_vote
+from cuminbend.consensus._following import (
+    handle_append,
+    handle_snapshot,
+    take_snapshot,
+)
+from cuminbend.consensus._joining import join
+from cuminbend.consensus._leadership import Leadership
+from cuminbend.consensus._messages import (
+    AppendReply,
+    AppendRequest,
+    IdentifyReply,
+    IdentifyRequest,
+    SnapshotReply,
+    SnapshotRequest,
+    TimeoutNowReply,
+    TimeoutNowRequest,
+    Voter,
+    VoteReply,
+    VoteRequest,
+)
+from cuminbend.consensus._settings import ReplicaSettings
+from cuminbend.consensus._storage import LogStorage
+from cuminbend.exceptions import DiskError, NotLeaderError, UnavailableError
+from cuminbend.ports import Clock, ConsensusTransport, RandomSource, ms
+
+logger = logging.getLogger(__name__)
+
+
+class Replica:
+    """Replicates commands over the voters and drives the state machine.
+
+    Based on Ongaro and Ousterhout, "In Search of an Understandable Consensus
+    Algorithm" (USENIX ATC 2014), with pre-vote and single-server membership changes
+    from Ongaro's thesis (2014).
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: ReplicaSettings,
+        storage: LogStorage,
+        transport: ConsensusTransport,
+        clock: Clock,
+        random: RandomSource,
+        state_machine: StateMachine,
+    ) -> None:
+        self._settings = settings
+        self._storage = storage
+        self._clock = clock
+        self._random = random
+        self._core = ReplicaCore(
+            settings=settings,
+            storage=storage,
+            transport=transport,
+            clock=clock,
+            random=random,
+            state_machine=state_machine,
+        )
+        self._leadership: Leadership | None = None
+
+    # State
+
+    @property
+    def leader(self) -> str | None:
+        """Instance believed to lead, or None."""
+        return self._core.leader
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads, as far as it knows."""
+        return self._core.role is Role.LEADER
+
+    @property
+    def term(self) -> int:
+        """Latest term seen."""
+        return self._storage.term
+
+    @property
+    def commit_index(self) -> int:
+        """Index of the last entry known to be committed; all up to it are applied."""
+        return self._core.commit_index
+
+    @property
+    def voters(self) -> tuple[Voter, ...]:
+        """Latest voters in the log."""
+        return self._storage.voters
+
+    @property
+    def led_since_ms(self) -> float | None:
+        """Monotonic time at which this replica won the election, while it leads."""
+        return self._core.led_since_ms
+
+    def confirmed_at_ms(self) -> float | None:
+        """Return when the last round that a majority acknowledged was started.
+
+        Returns:
+            A reading of the clock's ``monotonic_ms``, or None if this replica does
+            not lead or no entry of its term is committed yet.
+        """
+        leadership = self._current_leadership()
+        return leadership.confirmed_at_ms() if leadership else None
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for operators."""
+        core, storage = self._core, self._storage
+        leadership = self._current_leadership()
+        return {
+            "instance": self._settings.instance,
+            "disk_id": storage.disk_id,
+            "term": storage.term,
+            "role": str(core.role) if core.is_voter else "learner",
+            "leader": core.leader,
+            "led_since_ms": core.led_since_ms,
+            "confirmed_at_ms": self.confirmed_at_ms(),
+            "first_index": storage.first_index,
+            "last_index": storage.last_index,
+            "commit_index": core.commit_index,
+            "snapshot_index": storage.snapshot.index if storage.snapshot else 0,
+            "disk_works": core.disk_works,
+            "voters": [f"{v.instance}/{v.disk_id}" for v in storage.voters],
+            "peers": {
+                peer.instance: {
+                    "disk_id": peer.disk_id,
+                    "match_index": peer.match_index,
+                    "last_contact_ms": peer.last_contact_ms,
+                }
+                for peer in (leadership.peers.values() if leadership else ())
+            },
+        }
+
+    # Use
+
+    async def propose(self, data: bytes, timeout_ms: float) -> bytes:
+        """Commit a command and return what the state machine answered.
+
+        Raises:
+            NotLeaderError: If this replica does not take proposals; the command is
+                not in the log.
+            NoQuorumError: If it is not known whether the command was committed.
+        """
+        leadership = self._current_leadership()
+        if leadership is None:
+            raise NotLeaderError(self.leader)
+        return await leadership.propose(data, timeout_ms)
+
+    async def transfer_leadership(self) -> bool:
+        """Hand over to the voter that is furthest.
+
+        Returns:
+            Whether another voter took over; False also if this replica does not lead.
+        """
+        leadership = self._current_leadership()
+        return await leadership.transfer() if leadership else False
+
+    def _current_leadership(self) -> Leadership | None:
+        leadership = self._leadership
+        return leadership if leadership and leadership.active else None
+
+    # Running
+
+    async def run(self) -> None:
+        """Take part until cancelled.
+
+        Raises:
+            CorruptDataError: If the data folder is damaged or of another instance.
+            DiskError: If the data folder cannot be read.
+        """
+        await self._core.start()
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(take_snapshot, self._core)
+                while True:
+                    await self._act()
+        finally:
+            self._core.started = False
+            self._core.step_down()
+
+    async def _act(self) -> None:
+        if self._core.role is Role.LEADER:
+            await self._lead()
+        elif self._core.is_voter:
+            await self._stand_by()
+        else:
+            await join(self._core)
+
+    async def _lead(self) -> None:
+        self._leadership = Leadership(self._core)
+        try:
+            await self._leadership.run()
+        finally:
+            self._leadership = None
+
+    async def _stand_by(self) -> None:
+        """Stand for election once no leader was heard for a random timeout."""
+        core, settings = self._core, self._settings
+        timeout_ms = self._random.uniform(
+            settings.election_timeout_min_ms, settings.election_timeout_max_ms
+        )
+        start_ms = self._clock.monotonic_ms()
+        while core.is_voter:
+            if core.transfer_term == core.storage.term:
+                core.transfer_term = 0
+                await campaign(core, transfer=True)
+                return
+            silent_since_ms = max(start_ms, core.heard_leader_ms)
+            remaining_ms = silent_since_ms + timeout_ms - self._clock.monotonic_ms()
+            if remaining_ms <= 0:
+                if await self._disk_works():
+                    await campaign(core)
+                return
+            await core.wait_changed(remaining_ms)
+
+    async def _disk_works(self) -> bool:
+        core = self._core
+        if core.disk_works:
+            return True
+        try:
+            async with core.lock:
+                await core.storage.check_writable()
+        except DiskError as error:
+            core.report_disk_error(error)
+            await self._clock.sleep(ms(self._settings.disk_retry_ms))
+            return False
+        core.disk_works = True
+        return True
+
+    # Messages
+
+    async def handle(self, request: Any) -> Any:
+        """Answer a message of another voter.
+
+        Raises:
+            UnavailableError: If the replica has not started yet or has stopped.
+            DiskError: If the answer needs a write that fails.
+        """
+        if not self._core.started:
+            raise UnavailableError(
+                "the replica has not recovered its log yet; try again in a second",
+                retry_after_ms=1000,
+            )
+        return await self._handle(request)
+
+    @singledispatchmethod
+    async def _handle(self, request: Any) -> Any:
+        raise TypeError(f"no message of the control log: {type(request).__name__}")
+
+    @_handle.register
+    async def _(self, request: VoteRequest) -> VoteReply:
+        return await handle_vote(self._core, request)
+
+    @_handle.register
+    async def _(self, request: AppendRequest) -> AppendReply:
+        return await handle_append(self._core, request)
+
+    @_handle.register
+    async def _(self, request: SnapshotRequest) -> SnapshotReply:
+        return await handle_snapshot(self._core, request)
+
+    @_handle.register
+    async def _(self, request: TimeoutNowRequest) -> TimeoutNowReply:
+        core = self._core
+        if request.term == core.storage.term and core.is_voter and core.disk_works:
+            core.transfer_term = request.term
+            core.notify()
+        return TimeoutNowReply(core.storage.term)
+
+    @_handle.register
+    async def _(self, request: IdentifyRequest) -> IdentifyReply:
+        storage = self._storage
+        return IdentifyReply(
+            instance=self._settings.instance,
+            disk_id=storage.disk_id,
+            empty=storage.empty,
+            term=storage.term,
+            last_index=storage.last_index,
+            voters=storage.voters,
+        )
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/consensus/_settings.py
@@ -0,0 +1,36 @@
+"""Settings of a replica."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaSettings:
+    """Settings of one voter.
+
+    Attributes:
+        instance: Name of this instance.
+        initial_voters: Instances that have a disk; the same on all of them.
+        rpc_timeout_ms: Limit of one message; below the minimum election timeout, so
+            that one lost heartbeat does not start an election.
+        snapshot_timeout_ms: Limit of sending a whole snapshot.
+        snapshot_after_entries: Entries applied between two snapshots.
+        max_batch_entries: Entries in one append to disk or to a peer.
+        max_batch_bytes: Data in one append to a peer, unless one entry is larger;
+            below the default message limit of gRPC (4 MiB).
+        max_uncommitted_entries: Proposals are refused beyond this, because the log
+            cannot be compacted while no majority takes entries.
+        disk_retry_ms: Pause after a failed write before the disk is tried again.
+    """
+
+    instance: str
+    initial_voters: tuple[str, ...]
+    heartbeat_ms: float = 100
+    election_timeout_min_ms: float = 600
+    election_timeout_max_ms: float = 1200
+    rpc_timeout_ms: float = 250
+    snapshot_timeout_ms: float = 10_000
+    snapshot_after_entries: int = 1000
+    max_batch_entries: int = 500
+    max_batch_bytes: int = 1 << 20
+    max_uncommitted_entries: int = 5000
+    disk_retry_ms: float = 1000
