--- a/packages/cuminbend/src/cuminbend/ports/__init__.py
+++ b/packages/cuminbend/src/cuminbend/ports/__init__.py
@@ -2,7 +2,12 @@
 
 from cuminbend.ports._clock import Clock, RandomSource, ms
 from cuminbend.ports._disk import Disk
-from cuminbend.ports._dispatch import ControlPort, ShardDispatcher, UpstreamTransport
+from cuminbend.ports._dispatch import (
+    ControlPort,
+    ExchangeObserver,
+    ShardDispatcher,
+    UpstreamTransport,
+)
 from cuminbend.ports._peers import ConsensusTransport, PollTransport
 
 __all__ = [
@@ -10,6 +15,7 @@
     "ConsensusTransport",
     "ControlPort",
     "Disk",
+    "ExchangeObserver",
     "PollTransport",
     "RandomSource",
     "ShardDispatcher",
--- a/packages/cuminbend/src/cuminbend/ports/_dispatch.py
+++ b/packages/cuminbend/src/cuminbend/ports/_dispatch.py
@@ -21,6 +21,27 @@
         """
 
 
+class ExchangeObserver(Protocol):
+    """Learns from the transport what is certain about one exchange.
+
+    The calls may come after the exchange ended, for instance when the transport has
+    sent a cancellation and later reads that the upstream closed the connection. A
+    transport that cannot tell makes no call; the gate then assumes the worst.
+    """
+
+    def connection_gone(self) -> None:
+        """Note that the upstream no longer holds the connection open.
+
+        Either its end was seen to close, or the connection was never established.
+        """
+
+    def work_ended(self) -> None:
+        """Note that the upstream does not run the request, or not any more.
+
+        Either it confirmed the cancellation, or no byte was handed to a connection.
+        """
+
+
 class UpstreamTransport(Protocol):
     """Connections to one upstream, used by its owner only.
 
@@ -29,10 +50,18 @@
     """
 
     async def exchange(
-        self, upstream: Announcement, request: ShardRequest, timeout_ms: float
+        self,
+        upstream: Announcement,
+        request: ShardRequest,
+        timeout_ms: float,
+        observer: ExchangeObserver,
     ) -> ShardReply:
         """Send a request on a connection that is not in use and return the reply.
 
+        A connection is opened only if no idle one is left. When the call is cancelled
+        it returns at once; telling the upstream goes on in the background, and its
+        outcome is reported to ``observer``.
+
         The reply has been checked against the request id; its snapshot and
         incarnation are passed on as the upstream stated them.
 
@@ -41,7 +70,7 @@
         """
 
     def open_connections(self, upstream: str) -> int:
-        """Return the connections to an upstream that are open at this end."""
+        """Return the connections open or being opened at this end, idle or in use."""
 
     async def close(self, upstream: str) -> None:
         """Close all connections to an upstream."""
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/upstreams/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the admission gates."""
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/upstreams/tests/fakes.py
@@ -0,0 +1,269 @@
+"""Scripted stand-ins for the ports of a gate."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from datetime import UTC, datetime, timedelta
+from random import Random
+from typing import Any
+
+import trio
+
+from cuminbend.exceptions import (
+    NoQuorumError,
+    RequestFailedError,
+    RunState,
+    UpstreamError,
+    UpstreamErrorKind,
+)
+from cuminbend.messages import (
+    Announcement,
+    GateHandover,
+    OwnedUpstream,
+    ShardReply,
+    ShardRequest,
+    Snapshot,
+    WorkKind,
+)
+from cuminbend.ports import ExchangeObserver
+from cuminbend.replicated import CrashResult
+from cuminbend.upstreams import GateSettings, UpstreamGate
+
+SNAPSHOT = Snapshot("v1", "p1")
+
+
+class TrioClock:
+    """The virtual clock of the test."""
+
+    def now(self) -> datetime:
+        return datetime.fromtimestamp(trio.current_time(), UTC)
+
+    def monotonic_ms(self) -> float:
+        return trio.current_time() * 1000
+
+    async def sleep(self, delay: timedelta) -> None:
+        await trio.sleep(delay.total_seconds())
+
+
+@dataclass
+class FakeLease:
+    """A lease with a fixed remaining time."""
+
+    remaining: float = 1e9
+
+    def is_valid(self, for_ms: float = 0) -> bool:
+        return self.remaining_ms() >= for_ms > -1
+
+    def remaining_ms(self) -> float:
+        return self.remaining
+
+
+@dataclass
+class FakeShares:
+    """Shares from a table, else 1."""
+
+    shares: dict[str, float] = field(default_factory=dict)
+
+    def share(self, member: str) -> float:
+        return self.shares.get(member, 1.0)
+
+
+@dataclass
+class FakeControl:
+    """Records commands; answers with ``result``, or fails if it is None."""
+
+    log: list[Any] = field(default_factory=list)
+    result: CrashResult | None = CrashResult(1, quarantined=False, granted=True)
+    delay_ms: float = 1.0
+
+    async def propose(self, command: Any, timeout_ms: float) -> CrashResult:
+        await trio.sleep(self.delay_ms / 1000)
+        if self.result is None:
+            raise NoQuorumError("no majority")
+        self.log.append(command)
+        return self.result
+
+
+class FakeUpstream:
+    """An upstream and its transport, driven by a script of behaviours.
+
+    A behaviour is a word: ``ok``, ``stall``, ``reset``, ``shed``, ``connect``,
+    ``draining``, ``crossed``, ``snapshot``, ``malformed``, ``failed``, ``oserror`` or
+    a number of milliseconds. ``script`` maps a request id to one, else ``default``.
+    """
+
+    def __init__(self, *, default: Any = "ok", service_ms: float = 10.0) -> None:
+        self.default = default
+        self.service_ms = service_ms
+        self.script: dict[str, Any] = {}
+        self.incarnation = 1
+        self.confirms_cancel = False
+        self.capacity: Callable[[], int] = lambda: 1_000_000
+        self.overloaded = 0
+        self.running: dict[str, float] = {}
+        self.peak = 0
+        self.seen: list[str] = []
+        self.seen_kinds: list[WorkKind] = []
+        self.timeouts: list[float] = []
+        self.held_open = 0
+        self.idle = 0
+        self.in_use = 0
+        self.peak_held = 0
+        self.silent: list[float] = []
+        self.closed = False
+
+    def load(self) -> int:
+        """Requests that the upstream runs, abandoned ones until their deadline."""
+        now = trio.current_time()
+        self.running = {k: end for k, end in self.running.items() if end > now}
+        return len(self.running)
+
+    def held(self) -> int:
+        """Connections that the upstream holds, silent ones for the linger time."""
+        self.silent = [end for end in self.silent if end > trio.current_time()]
+        return self.idle + self.in_use + len(self.silent)
+
+    def open_connections(self, upstream: str) -> int:
+        return self.idle + self.in_use
+
+    async def close(self, upstream: str) -> None:
+        self.idle = 0
+        self.closed = True
+
+    async def exchange(
+        self,
+        upstream: Announcement,
+        request: ShardRequest,
+        timeout_ms: float,
+        observer: ExchangeObserver,
+    ) -> ShardReply:
+        self.idle = max(0, self.idle - 1)
+        self.in_use += 1
+        self.peak_held = max(self.peak_held, self.held())
+        self.running[request.request_id] = (
+            trio.current_time() + request.budget_ms / 1000
+        )
+        self.peak = max(self.peak, self.load())
+        self.seen.append(request.request_id)
+        self.seen_kinds.append(request.kind)
+        self.timeouts.append(timeout_ms)
+        reusable = False
+        try:
+            if self.load() > self.capacity():
+                self.overloaded += 1
+                raise failure("shed")
+            reply = await self._behave(request)
+            reusable = True
+            return reply
+        except trio.Cancelled:
+            if self.confirms_cancel:
+                self.running.pop(request.request_id, None)
+                observer.connection_gone()
+                observer.work_ended()
+            else:
+                self.silent.append(trio.current_time() + 60)
+            raise
+        except UpstreamError:
+            self.running.pop(request.request_id, None)
+            raise
+        finally:
+            self.in_use -= 1
+            self.idle += reusable
+
+    async def _behave(self, request: ShardRequest) -> ShardReply:
+        word = self.script.get(request.request_id, self.default)
+        reply = ShardReply(
+            request.request_id,
+            request.upstream,
+            self.incarnation,
+            b"hits",
+            request.snapshot,
+        )
+        if word == "stall":
+            await trio.sleep_forever()
+        await trio.sleep((word if isinstance(word, float) else self.service_ms) / 1000)
+        self.running.pop(request.request_id, None)
+        if word == "oserror":
+            raise OSError("broken")
+        if word == "crossed":
+            return replace(reply, request_id="another")
+        if word == "snapshot":
+            return replace(reply, snapshot=Snapshot("v2", "p1"))
+        if word != "ok" and isinstance(word, str):
+            raise failure(word)
+        return reply
+
+
+def failure(word: str) -> UpstreamError:
+    """Return the error that a transport raises for a behaviour."""
+    kind = UpstreamErrorKind(word)
+    states = {"connect": RunState.NOT_RUN, "shed": RunState.NOT_RUN}
+    states |= {"draining": RunState.NOT_RUN, "failed": RunState.RAN}
+    return UpstreamError(word, kind=kind, run_state=states.get(word, RunState.UNKNOWN))
+
+
+ANNOUNCEMENT = Announcement("u1", 1, "dc1", "127.0.0.1:1", "s", (), 4, 100)
+
+
+class Bench:
+    """A gate with its stand-ins and the outcomes of the requests sent to it."""
+
+    def __init__(
+        self,
+        *,
+        limit: int = 1,
+        cap: int = 25,
+        seed: int = 1,
+        slots: int = 4,
+        **settings: Any,
+    ) -> None:
+        self.clock = TrioClock()
+        self.lease = FakeLease()
+        self.control = FakeControl()
+        self.shares = FakeShares()
+        self.upstream = FakeUpstream()
+        self.in_service = True
+        self.announcement = replace(ANNOUNCEMENT, slots=slots)
+        self.outcomes: dict[str, ShardReply | RequestFailedError] = {}
+        self.ended_ms: dict[str, float] = {}
+        self.gate = UpstreamGate(
+            settings=GateSettings(**settings),
+            announcement=self.announcement,
+            grant=OwnedUpstream("u1", 1, cap, GateHandover("u1", 1, limit)),
+            transport=self.upstream,
+            clock=self.clock,
+            random=Random(seed),
+            lease=self.lease,
+            control=self.control,
+            shares=self.shares,
+            data_centre_in_service=lambda _: self.in_service,
+        )
+
+    async def send(
+        self,
+        request_id: str,
+        kind: WorkKind = WorkKind.SEARCH,
+        *,
+        member: str = "m",
+        budget_ms: float = 1000.0,
+        fingerprint: str = "",
+    ) -> ShardReply | RequestFailedError:
+        """Run one request and return its outcome."""
+        request = ShardRequest(
+            request_id=request_id,
+            caller_request_id=request_id,
+            member=member,
+            service="s",
+            upstream="u1",
+            kind=kind,
+            body=b"q",
+            budget_ms=budget_ms,
+            fingerprint=fingerprint,
+            snapshot=None if kind is WorkKind.SUBMIT else SNAPSHOT,
+        )
+        try:
+            outcome: ShardReply | RequestFailedError = await self.gate.run(request)
+        except RequestFailedError as error:
+            outcome = error
+        self.outcomes[request_id] = outcome
+        self.ended_ms[request_id] = self.clock.monotonic_ms()
+        return outcome
