Add searches at the entry instance, and budgets

Ruled out: cancelling an attempt at a fixed time limit at the entry, because under load the owner's queue alone can exceed it and the shard would be lost without a retry token; an overdue attempt keeps running beside the new one.

--- a/packages/cuminbend/src/cuminbend/budgets/__init__.py
+++ b/packages/cuminbend/src/cuminbend/budgets/__init__.py
@@ -1,1 +1,6 @@
-"""Budgets for extra work, and latency estimates."""
+"""Budgets for extra work and estimates of latency."""
+
+from cuminbend.budgets._latency import LatencyEstimate
+from cuminbend.budgets._tokens import TokenBudget
+
+__all__ = ["LatencyEstimate", "TokenBudget"]
--- a/packages/cuminbend/src/cuminbend/query/__init__.py
+++ b/packages/cuminbend/src/cuminbend/query/__init__.py
@@ -1,1 +1,27 @@
-"""Searches at the entry instance."""
+"""Searches at the instance that a caller is connected to."""
+
+from cuminbend.query._base import (
+    LeasePort,
+    QueryObserver,
+    SearchAnswer,
+    SearchRequest,
+    ShardAnswer,
+    SuspectError,
+    ViewPort,
+)
+from cuminbend.query._coordinator import QueryCoordinator
+from cuminbend.query._settings import QuerySettings
+from cuminbend.query._validation import check_search_request
+
+__all__ = [
+    "LeasePort",
+    "QueryCoordinator",
+    "QueryObserver",
+    "QuerySettings",
+    "SearchAnswer",
+    "SearchRequest",
+    "ShardAnswer",
+    "SuspectError",
+    "ViewPort",
+    "check_search_request",
+]
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/query/_attempts.py
@@ -0,0 +1,285 @@
+"""One shard request to one upstream."""
+
+import itertools
+import logging
+from dataclasses import dataclass
+
+from cuminbend.budgets import LatencyEstimate, TokenBudget
+from cuminbend.config import Configuration
+from cuminbend.exceptions import (
+    RequestFailedError,
+    RunState,
+    UpstreamError,
+    UpstreamErrorKind,
+)
+from cuminbend.messages import (
+    ShardReply,
+    ShardRequest,
+    Snapshot,
+    UpstreamRecord,
+    WorkKind,
+)
+from cuminbend.ports import Clock, RandomSource, ShardDispatcher
+from cuminbend.query._base import QueryObserver, ViewPort
+from cuminbend.query._replicas import ReplicaBoard
+from cuminbend.query._settings import QuerySettings
+from cuminbend.query._snapshots import ShardKey, SnapshotSelector
+from cuminbend.query._validation import CheckedSearch, check_lease
+
+_log = logging.getLogger(__name__)
+
+# Failures that say something about the upstream rather than about the request or
+# about this instance.
+_UPSTREAM_FAULTS = frozenset(UpstreamErrorKind) - {UpstreamErrorKind.MISMATCH}
+
+
+class ServiceBudget:
+    """Latency and retry budget of one service."""
+
+    def __init__(self, *, settings: QuerySettings) -> None:
+        self._settings = settings
+        self.latency = LatencyEstimate(window=settings.latency_window)
+        self.retries = TokenBudget(
+            ratio=settings.retry_ratio, burst=settings.retry_burst
+        )
+
+    @property
+    def hedge_delay_ms(self) -> float:
+        """Time after which an unanswered attempt is worth a hedge."""
+        p95_ms = self.latency.p95_ms
+        if p95_ms is None or len(self.latency) < self._settings.min_samples:
+            return self._settings.hedge_initial_ms
+        return max(p95_ms, self._settings.hedge_floor_ms)
+
+    @property
+    def overdue_ms(self) -> float:
+        """Time after which an unanswered attempt is taken for lost."""
+        return max(
+            self._settings.overdue_factor * self.hedge_delay_ms,
+            self._settings.overdue_floor_ms,
+        )
+
+    @property
+    def typical_ms(self) -> float:
+        """Expected latency of an upstream that was not observed yet."""
+        return self.latency.p50_ms or self._settings.hedge_initial_ms
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How an attempt ended: with a verified reply or with an error."""
+
+    upstream: str
+    reply: ShardReply | None = None
+    error: RequestFailedError | None = None
+
+    @property
+    def kind(self) -> UpstreamErrorKind | None:
+        """Kind of the error, if an upstream caused it."""
+        return self.error.kind if isinstance(self.error, UpstreamError) else None
+
+
+@dataclass(slots=True, kw_only=True)
+class SearchContext:
+    """A search in progress.
+
+    Attributes:
+        deadline_at_ms: Monotonic time at which the answer is given.
+        attempts: Shard requests sent so far.
+        hedges: Those of them sent as hedges.
+        failures: Errors of attempts.
+    """
+
+    search: CheckedSearch
+    configuration: Configuration
+    fingerprint: str
+    started_at_ms: float
+    deadline_at_ms: float
+    attempts: int
+    hedges: int
+    failures: list[RequestFailedError]
+
+
+class AttemptSender:
+    """Sends attempts, checks their replies and records what they show."""
+
+    def __init__(
+        self,
+        *,
+        settings: QuerySettings,
+        view: ViewPort,
+        dispatcher: ShardDispatcher,
+        clock: Clock,
+        random: RandomSource,
+        accounts: QueryObserver,
+        selector: SnapshotSelector,
+        board: ReplicaBoard,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._accounts = accounts
+        self._selector = selector
+        self._board = board
+        # Random per process start, so that ids are not used again after a restart.
+        self._boot_id = f"{random.getrandbits(128):032x}"
+        self._numbers = itertools.count(1)
+        self._services: dict[str, ServiceBudget] = {}
+        self.hedges = TokenBudget(
+            ratio=settings.hedge_ratio, burst=settings.hedge_burst, initial=1
+        )
+
+    def service(self, name: str) -> ServiceBudget:
+        """Return the budget of a service."""
+        if name not in self._services:
+            self._services[name] = ServiceBudget(settings=self._settings)
+        return self._services[name]
+
+    async def send(
+        self,
+        context: SearchContext,
+        key: ShardKey,
+        snapshot: Snapshot,
+        record: UpstreamRecord,
+        kind: WorkKind,
+    ) -> Outcome:
+        """Send one attempt and return how it ended."""
+        upstream = record.announcement.upstream
+        started_at_ms = self._clock.monotonic_ms()
+        request = self._request(context, key, snapshot, upstream, kind)
+        outcome = Outcome(upstream)
+        try:
+            check_lease(self._view, context.configuration)
+            self._count(context, kind)
+            self._board.started(upstream)
+            try:
+                reply = await self._dispatcher.dispatch(request)
+            finally:
+                self._board.ended(upstream)
+            self._check_reply(request, reply)
+            self._selector.trust(upstream, snapshot)
+            outcome = Outcome(upstream, reply=reply)
+        except RequestFailedError as error:
+            outcome = Outcome(upstream, error=error)
+            if outcome.kind is UpstreamErrorKind.MISMATCH:
+                self._selector.doubt(upstream, snapshot)
+        finally:
+            # Also reached by cancellation, with neither reply nor error.
+            self._record(context, key[0], outcome, started_at_ms)
+        return outcome
+
+    def _request(
+        self,
+        context: SearchContext,
+        key: ShardKey,
+        snapshot: Snapshot,
+        upstream: str,
+        kind: WorkKind,
+    ) -> ShardRequest:
+        request = context.search.request
+        return ShardRequest(
+            request_id=f"{self._boot_id}-{next(self._numbers)}",
+            caller_request_id=request.caller_request_id,
+            member=request.member,
+            service=key[0],
+            upstream=upstream,
+            kind=kind,
+            body=request.body,
+            budget_ms=max(context.deadline_at_ms - self._clock.monotonic_ms(), 0.0),
+            fingerprint=context.fingerprint,
+            shard=key[1],
+            snapshot=snapshot,
+        )
+
+    def _count(self, context: SearchContext, kind: WorkKind) -> None:
+        context.attempts += 1
+        if kind is WorkKind.HEDGE:
+            context.hedges += 1
+        elif kind in (WorkKind.SEARCH, WorkKind.CANARY):
+            self.hedges.earn()
+
+    def _check_reply(self, request: ShardRequest, reply: ShardReply) -> None:
+        if reply.request_id != request.request_id or reply.upstream != request.upstream:
+            raise UpstreamError(
+                f"upstream {request.upstream} answered another request; check the "
+                "adapter that pairs replies with requests",
+                kind=UpstreamErrorKind.MALFORMED,
+                run_state=RunState.UNKNOWN,
+            )
+        if reply.snapshot != request.snapshot:
+            raise UpstreamError(
+                f"upstream {request.upstream} answered from {reply.snapshot}, not from "
+                f"{request.snapshot}; check the holdings that it announces",
+                kind=UpstreamErrorKind.MISMATCH,
+                run_state=RunState.RAN,
+            )
+
+    def _record(
+        self,
+        context: SearchContext,
+        service: str,
+        outcome: Outcome,
+        started_at_ms: float,
+    ) -> None:
+        latency_ms = self._clock.monotonic_ms() - started_at_ms
+        budget = self.service(service)
+        if outcome.reply is not None:
+            text = "ok" if outcome.reply.complete else "partial"
+            self._board.succeeded(outcome.upstream, latency_ms)
+            budget.latency.record(latency_ms)
+            budget.retries.earn()
+        elif outcome.error is not None:
+            text = str(outcome.kind or type(outcome.error).__name__)
+            context.failures.append(outcome.error)
+            self._record_fault(outcome, budget, latency_ms)
+            _log.debug(
+                "attempt_failed request=%s service=%s upstream=%s outcome=%s run=%s",
+                context.search.request.caller_request_id,
+                service,
+                outcome.upstream,
+                text,
+                outcome.error.run_state,
+            )
+        else:
+            text = "cancelled"
+            self._record_slow(outcome, budget, latency_ms)
+        self._accounts.attempt(
+            member=context.search.request.member,
+            service=service,
+            outcome=text,
+            latency_ms=latency_ms,
+        )
+
+    def _record_fault(
+        self, outcome: Outcome, budget: ServiceBudget, latency_ms: float
+    ) -> None:
+        if outcome.kind in _UPSTREAM_FAULTS:
+            self._board.failed(outcome.upstream)
+        if outcome.kind is UpstreamErrorKind.TIMEOUT:
+            self._record_slow(outcome, budget, latency_ms)
+
+    def _record_slow(
+        self, outcome: Outcome, budget: ServiceBudget, latency_ms: float
+    ) -> None:
+        # Leaving out the slow attempts that lost against a hedge would lower the
+        # estimates, and with them the hedge delay, further and further. Attempts
+        # cancelled early, for instance by the caller, say nothing.
+        if latency_ms >= budget.hedge_delay_ms:
+            self._board.abandoned(outcome.upstream, latency_ms)
+            budget.latency.record(latency_ms)
+
+    def dump(self) -> dict[str, object]:
+        """Return budgets and estimates."""
+        return {
+            "hedge_tokens": self.hedges.tokens,
+            "services": {
+                name: {
+                    "retry_tokens": budget.retries.tokens,
+                    "hedge_delay_ms": budget.hedge_delay_ms,
+                    "p50_ms": budget.latency.p50_ms,
+                    "p95_ms": budget.latency.p95_ms,
+                }
+                for name, budget in sorted(self._services.items())
+            },
+        }
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/query/_canary.py
@@ -0,0 +1,282 @@
+"""Trial of a search on one shard before it is sent to all.
+
+Source: Dean and Barroso, "The Tail at Scale", CACM 2013 (canary requests).
+"""
+
+import logging
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from itertools import chain
+
+import anyio
+
+from cuminbend.exceptions import (
+    QuarantinedError,
+    RunState,
+    UnavailableError,
+    UpstreamErrorKind,
+)
+from cuminbend.messages import Snapshot, UpstreamRecord, WorkKind
+from cuminbend.ports import Clock, ms
+from cuminbend.query._attempts import AttemptSender, Outcome, SearchContext
+from cuminbend.query._base import SuspectError, ViewPort
+from cuminbend.query._fingerprints import (
+    FingerprintBook,
+    order_shards,
+    order_upstreams,
+)
+from cuminbend.query._settings import QuerySettings
+from cuminbend.query._snapshots import ShardKey
+
+_log = logging.getLogger(__name__)
+
+# A request that may have broken this many upstreams is sent to no further one.
+_MAX_BROKEN = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An upstream that a canary may be sent to, and the shard to ask it for."""
+
+    key: ShardKey
+    record: UpstreamRecord
+
+    @property
+    def upstream(self) -> str:
+        """Name of the upstream."""
+        return self.record.announcement.upstream
+
+
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """The reply to a canary."""
+
+    key: ShardKey
+    outcome: Outcome
+
+
+def list_candidates(
+    view: ViewPort, fingerprint: str, keys: Sequence[ShardKey], snapshot: Snapshot
+) -> list[Candidate]:
+    """Return the candidates in the order that every instance follows.
+
+    The order depends on the fingerprint and the holders only, not on what this
+    instance observed: instances that try the same request then meet at the same
+    owner, which runs equal fingerprints one after the other.
+    """
+    return list(
+        chain.from_iterable(
+            _order_holders(view, fingerprint, key, snapshot)
+            for key in order_shards(fingerprint, keys)
+        )
+    )
+
+
+def _order_holders(
+    view: ViewPort, fingerprint: str, key: ShardKey, snapshot: Snapshot
+) -> list[Candidate]:
+    holders = {
+        record.announcement.upstream: record
+        for record in view.holders(key[0], snapshot, key[1])
+    }
+    return [Candidate(key, holders[n]) for n in order_upstreams(fingerprint, holders)]
+
+
+def check_quarantine(view: ViewPort, book: FingerprintBook, fingerprint: str) -> None:
+    """Refuse a fingerprint that broke two upstreams.
+
+    Raises:
+        QuarantinedError: If the log or this instance knows of two.
+    """
+    broken = book.broken_upstreams(fingerprint)
+    if fingerprint in view.quarantined or len(broken) >= _MAX_BROKEN:
+        raise QuarantinedError(
+            f"request {fingerprint} broke two upstreams and is refused; change the "
+            "request, and look at the upstreams named by 'cuminbendctl dump'",
+            run_state=RunState.RAN,
+        )
+
+
+class Canary:
+    """The trial of one search."""
+
+    def __init__(
+        self,
+        *,
+        settings: QuerySettings,
+        view: ViewPort,
+        clock: Clock,
+        sender: AttemptSender,
+        book: FingerprintBook,
+        context: SearchContext,
+        snapshot: Snapshot,
+        is_lost: Callable[[], bool],
+    ) -> None:
+        self._settings = settings
+        self._is_lost = is_lost
+        self._view = view
+        self._clock = clock
+        self._sender = sender
+        self._book = book
+        self._context = context
+        self._snapshot = snapshot
+        self._fingerprint = context.fingerprint
+        # Where the fingerprint was found to be a suspect by the owner of an upstream.
+        self._reported: set[str] = set()
+        self._tried: set[str] = set()
+        self._rounds = 0
+
+    async def prove(self, keys: Sequence[ShardKey]) -> Proof | None:
+        """Return once the search is proven, with the reply if it came from here.
+
+        Equal searches in progress at this instance wait for the first one. The search
+        stays unproven if no upstream holds the snapshot any more.
+
+        Raises:
+            QuarantinedError: If the search broke two upstreams.
+            UnavailableError: If it cannot be tried.
+        """
+        while True:
+            check_quarantine(self._view, self._book, self._fingerprint)
+            if self._book.is_proven(self._fingerprint):
+                return None
+            event = self._book.in_progress(self._fingerprint)
+            if event is None:
+                break
+            await event.wait()
+        self._book.begin(self._fingerprint)
+        try:
+            return await self._try_candidates(keys)
+        finally:
+            self._book.end(self._fingerprint)
+
+    async def _try_candidates(self, keys: Sequence[ShardKey]) -> Proof | None:
+        while True:
+            check_quarantine(self._view, self._book, self._fingerprint)
+            broken = self._broken()
+            candidates = self._remaining(keys, broken)
+            if not candidates:
+                if not await self._start_next_round(keys, broken):
+                    return None
+                continue
+            proof = await self._ask(candidates, suspect=bool(broken))
+            if proof is not None:
+                self._book.record_answered(self._fingerprint)
+                return proof
+            if self._is_lost():
+                return None
+            await self._take_retry_token(candidates[0].key[0])
+
+    def _broken(self) -> set[str]:
+        broken = set(self._book.broken_upstreams(self._fingerprint)) | self._reported
+        first = self._view.suspects.get(self._fingerprint)
+        return broken if first is None else broken | {first}
+
+    def _remaining(self, keys: Sequence[ShardKey], broken: set[str]) -> list[Candidate]:
+        return [
+            candidate
+            for candidate in list_candidates(
+                self._view, self._fingerprint, keys, self._snapshot
+            )
+            if candidate.upstream not in self._tried | broken
+        ]
+
+    async def _start_next_round(
+        self, keys: Sequence[ShardKey], broken: set[str]
+    ) -> bool:
+        """Pause before all candidates are tried again; False if there are none."""
+        if not self._tried:
+            if broken:
+                raise UnavailableError(
+                    f"request {self._fingerprint} broke {', '.join(sorted(broken))} "
+                    "and there is no second upstream to try it on; change the request "
+                    "or add a replica",
+                    run_state=RunState.RAN,
+                )
+            return False
+        await self._clock.sleep(ms(self._retry_delay_ms()))
+        self._rounds += 1
+        self._tried.clear()
+        self._reported.clear()
+        return True
+
+    def _retry_delay_ms(self) -> float:
+        delay_ms: float = self._settings.retry_delay_ms * 2 ** min(self._rounds, 16)
+        return min(delay_ms, self._settings.retry_delay_max_ms)
+
+    async def _take_retry_token(self, service: str) -> None:
+        while not self._sender.service(service).retries.try_spend():
+            await self._clock.sleep(ms(self._settings.retry_delay_ms))
+
+    async def _ask(
+        self, candidates: Sequence[Candidate], *, suspect: bool
+    ) -> Proof | None:
+        outcomes: list[Proof] = []
+        ended = anyio.Event()
+        async with anyio.create_task_group() as group:
+
+            async def attempt(candidate: Candidate, kind: WorkKind) -> None:
+                self._tried.add(candidate.upstream)
+                outcome = await self._sender.send(
+                    self._context, candidate.key, self._snapshot, candidate.record, kind
+                )
+                outcomes.append(Proof(candidate.key, outcome))
+                ended.set()
+                if outcome.reply is not None:
+                    group.cancel_scope.cancel()
+
+            if suspect:
+                group.start_soon(attempt, candidates[0], WorkKind.SUSPECT)
+            else:
+                group.start_soon(attempt, candidates[0], WorkKind.CANARY)
+                if await self._is_worth_hedging(candidates, ended):
+                    group.start_soon(attempt, candidates[1], WorkKind.HEDGE)
+        for proof in outcomes:
+            if proof.outcome.reply is not None:
+                return proof
+        for proof in outcomes:
+            self._judge_failure(proof.outcome, suspect=suspect)
+        return None
+
+    async def _is_worth_hedging(
+        self, candidates: Sequence[Candidate], ended: anyio.Event
+    ) -> bool:
+        service = self._sender.service(candidates[0].key[0])
+        with anyio.move_on_after(service.hedge_delay_ms / 1000):
+            await ended.wait()
+        return (
+            not ended.is_set()
+            and len(candidates) > 1
+            and self._sender.hedges.try_spend()
+        )
+
+    def _judge_failure(self, outcome: Outcome, *, suspect: bool) -> None:
+        error = outcome.error
+        if error is None:
+            return
+        if isinstance(error, QuarantinedError):
+            raise error
+        if isinstance(error, SuspectError):
+            self._reported.add(error.first_upstream)
+            if suspect:
+                # Another instance has the single run. Trying further upstreams would
+                # only repeat the claim, so all wait for the next round.
+                self._tried.update(self._view.upstreams)
+        elif outcome.kind is UpstreamErrorKind.RESET:
+            _log.warning(
+                "canary_broke_upstream fingerprint=%s upstream=%s suspect=%s",
+                self._fingerprint,
+                outcome.upstream,
+                suspect,
+            )
+            self._book.record_broken(self._fingerprint, outcome.upstream)
+        elif error.run_state is not RunState.NOT_RUN and suspect:
+            raise UnavailableError(
+                f"the single trial of suspect request {self._fingerprint} on "
+                f"{outcome.upstream} ended without a reply; try again later",
+                run_state=error.run_state,
+            )
+        elif error.run_state is not RunState.NOT_RUN and outcome.kind is None:
+            # The instance that owns the upstream was lost with the request. The
+            # upstream may be broken although nobody saw it break.
+            self._book.record_broken(self._fingerprint, outcome.upstream)
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/query/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of searches, and the fakes that they share."""
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/query/tests/test_search.py
@@ -0,0 +1,179 @@
+"""Answers of single searches."""
+
+from collections import Counter
+
+import anyio
+import pytest
+
+from cuminbend.exceptions import (
+    InvalidRequestError,
+    LeaseExpiredError,
+    QuarantinedError,
+    RequestFailedError,
+    RunState,
+    UnavailableError,
+    UpstreamErrorKind,
+)
+from cuminbend.messages import Snapshot, WorkKind
+from cuminbend.query import SearchAnswer
+from cuminbend.query.tests._cluster import (
+    NEW,
+    OLD,
+    Cluster,
+    make_configuration,
+    replicated_cluster,
+    run_on_trio,
+    search_request,
+)
+
+INVALID = [
+    ({"member": "nobody"}, "[[members]]"),
+    ({"target": "nothing"}, "[[services]]"),
+    ({"target": "orders"}, "idempotency key"),
+    ({"body": b"x" * 101}, "max_body_bytes"),
+    ({"deadline_ms": 0}, "above 0"),
+    ({"deadline_ms": -5}, "above 0"),
+    ({"deadline_ms": float("nan")}, "above 0"),
+    ({"deadline_ms": 1001}, "at most 1000"),
+    ({"snapshot": Snapshot("1", "p9")}, "use one of p4, p6"),
+]
+
+
+def search(cluster: Cluster, **changes: object) -> SearchAnswer:
+    async def main() -> SearchAnswer:
+        return await cluster.coordinator().search(search_request(**changes))
+
+    answer: SearchAnswer = run_on_trio(main)
+    return answer
+
+
+@pytest.mark.parametrize(("changes", "remedy"), INVALID)
+def test_invalid_request_names_the_remedy(
+    changes: dict[str, object], remedy: str
+) -> None:
+    """Guards against work sent for a request that has to be refused."""
+    cluster = replicated_cluster()
+    with pytest.raises(InvalidRequestError) as caught:
+        search(cluster, **changes)
+    assert remedy in str(caught.value)
+    assert caught.value.run_state is RunState.NOT_RUN
+    assert cluster.sent == []
+
+
+def test_member_not_allowed() -> None:
+    """Guards against members that reach a service of others."""
+    cluster = replicated_cluster()
+    text = make_configuration()
+    service = text.services_by_name["fit"]
+    object.__setattr__(service, "members", ("full",))
+    cluster.configuration = text
+    with pytest.raises(InvalidRequestError, match="may not ask"):
+        search(cluster)
+
+
+def test_no_configuration_and_no_lease() -> None:
+    """Guards against work sent without a lease or a configuration."""
+    cluster = replicated_cluster()
+    cluster.lease.valid = False
+    with pytest.raises(LeaseExpiredError) as caught:
+        search(cluster)
+    assert caught.value.run_state is RunState.NOT_RUN
+    cluster.configuration = make_configuration(without_quorum="search")
+    assert search(cluster).shards_answered == 4
+    cluster.configuration = None
+    with pytest.raises(UnavailableError):
+        search(cluster)
+
+
+def test_full_answer_with_one_canary() -> None:
+    """Guards against a canary whose reply is thrown away or asked for again."""
+    cluster = replicated_cluster()
+    answer = search(cluster)
+    assert answer.snapshot == OLD
+    assert (answer.shards_total, answer.shards_answered) == (4, 4)
+    assert [reply.shard for reply in answer.replies] == [0, 1, 2, 3]
+    assert answer.attempts == 4
+    assert Counter(cluster.kinds()) == {"canary": 1, "search": 3}
+    assert len({sent.request.request_id for sent in cluster.sent}) == 4
+    assert cluster.searches[0]["outcome"] == "ok"
+
+
+def test_no_fan_out_before_the_canary_is_answered() -> None:
+    """Guards against a crashing query that reaches more than two upstreams."""
+    cluster = replicated_cluster()
+    for name in cluster.upstreams:
+        cluster.faults[name] = UpstreamErrorKind.RESET
+    with pytest.raises(QuarantinedError) as caught:
+        search(cluster)
+    assert caught.value.run_state is RunState.RAN
+    assert cluster.kinds() == ["canary", "suspect"]
+    assert cluster.sent[0].request.upstream != cluster.sent[1].request.upstream
+
+
+@pytest.mark.parametrize("kind", ["connect", "shed", "draining", "failed", "timeout"])
+def test_failed_replica_is_replaced(kind: str) -> None:
+    """Guards against coverage that is lost although a replica could answer."""
+    cluster = replicated_cluster()
+    for shard in range(4):
+        cluster.faults[f"fit-{shard}-x"] = UpstreamErrorKind(kind)
+    answer = search(cluster)
+    assert answer.shards_answered == 4
+    assert {reply.upstream[-1] for reply in answer.replies} == {"y"}
+
+
+def test_missing_shard_is_reported() -> None:
+    """Guards against a denominator that follows the replicas found."""
+    cluster = replicated_cluster()
+    del cluster.upstreams["fit-2-x"], cluster.upstreams["fit-2-y"]
+    answer = search(cluster)
+    assert (answer.shards_total, answer.shards_answered) == (4, 3)
+    assert answer.missing == (("fit", 2),)
+
+
+def test_partial_reply_is_used_but_not_counted() -> None:
+    """Guards against partial replies that count as full coverage."""
+    cluster = replicated_cluster()
+    cluster.partial = {"fit-1-x", "fit-1-y", "fit-2-x"}
+    answer = search(cluster)
+    assert answer.shards_answered == 3
+    assert answer.partial == (("fit", 1),)
+    assert answer.missing == ()
+    assert len(answer.replies) == 4
+
+
+def test_nothing_answered_is_a_failure() -> None:
+    """Guards against an empty result for a search that nothing answered."""
+    cluster = replicated_cluster()
+    for name in cluster.upstreams:
+        cluster.faults[name] = UpstreamErrorKind.SHED
+    with pytest.raises(RequestFailedError) as caught:
+        search(cluster)
+    assert caught.value.run_state is RunState.NOT_RUN
+    with pytest.raises(UnavailableError):
+        search(Cluster())
+
+
+def test_reply_of_another_snapshot_is_discarded() -> None:
+    """Guards against answers that mix snapshots."""
+    cluster = replicated_cluster()
+    cluster.serving["fit-1-x"] = NEW
+    answer = search(cluster)
+    assert answer.shards_answered == 4
+    assert {reply.body for reply in answer.replies} == {b"2026-12-01/p4"}
+
+
+def test_caller_that_goes_away_cancels_all_attempts() -> None:
+    """Guards against work that goes on for nobody."""
+    cluster = replicated_cluster()
+
+    async def main() -> None:
+        coordinator = cluster.coordinator()
+        await coordinator.search(search_request())
+        cluster.latency_ms = dict.fromkeys(cluster.upstreams, 100.0)
+        with anyio.move_on_after(0.05):
+            await coordinator.search(search_request())
+
+    run_on_trio(main)
+    late = [sent for sent in cluster.sent if sent.request.kind is not WorkKind.CANARY]
+    assert {sent.ended for sent in late[3:]} == {"cancelled"}
+    assert cluster.searches[-1]["outcome"] == "cancelled"
