--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/config/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of :mod:`cuminbend.config`."""
--- a/packages/cuminbend/src/cuminbend/replicated/__init__.py
+++ b/packages/cuminbend/src/cuminbend/replicated/__init__.py
@@ -15,11 +15,16 @@
     CrashResult,
     RecordCrash,
     RecordOutcome,
+    RecordResult,
+    RefusedResult,
     decode_command,
     decode_result,
     encode_command,
     encode_result,
 )
+from cuminbend.replicated._keys import key_time_ms
+from cuminbend.replicated._limits import StateLimits
+from cuminbend.replicated._state import ReplicatedState
 
 __all__ = [
     "ApplyConfiguration",
@@ -36,8 +41,13 @@
     "CrashResult",
     "RecordCrash",
     "RecordOutcome",
+    "RecordResult",
+    "RefusedResult",
+    "ReplicatedState",
+    "StateLimits",
     "decode_command",
     "decode_result",
     "encode_command",
     "encode_result",
+    "key_time_ms",
 ]
--- a/packages/cuminbend/src/cuminbend/replicated/_commands.py
+++ b/packages/cuminbend/src/cuminbend/replicated/_commands.py
@@ -58,6 +58,12 @@
     """Record how a claimed submit ended.
 
     ``NOT_RUN`` frees the key, because nothing can have run.
+
+    Attributes:
+        body: The reply, in a text encoding of the submitter's choice.
+        body_dropped: Whether the reply is left out because it is too large to keep.
+        upstream: The upstream that answered, or empty.
+        ran: Whether a submit without a usable reply is known to have run.
     """
 
     member: str
@@ -66,6 +72,9 @@
     claim_id: str
     outcome: ClaimOutcome
     body: str = ""
+    upstream: str = ""
+    body_dropped: bool = False
+    ran: bool = False
     kind: Literal["record_outcome"] = "record_outcome"
 
 
@@ -100,13 +109,25 @@
 
 @dataclass(frozen=True, slots=True)
 class ClearSuspect:
-    """Record that a suspect was answered while it ran alone."""
+    """Record that a suspect was answered while it ran alone.
+
+    Attributes:
+        claim_id: Of the claimed run, or empty for whichever run is unresolved.
+    """
 
     fingerprint: str
+    claim_id: str = ""
     kind: Literal["clear_suspect"] = "clear_suspect"
 
 
-Command = ApplyConfiguration | ClaimSubmit | RecordOutcome | RecordCrash | ClearSuspect
+Command = (
+    ApplyConfiguration
+    | ClaimSubmit
+    | RecordOutcome
+    | RecordCrash
+    | ClaimSuspectRun
+    | ClearSuspect
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,11 +177,17 @@
     Attributes:
         claim_id: Of the claim that holds the key.
         body: Recorded reply, only with ``ANSWERED``.
+        upstream: The upstream that answered, only with ``ANSWERED``.
+        body_dropped: Whether the reply was too large to be kept.
+        ran: With ``UNKNOWN``, whether the submit is known to have run.
     """
 
     status: ClaimStatus
     claim_id: str = ""
     body: str = ""
+    upstream: str = ""
+    body_dropped: bool = False
+    ran: bool = False
     kind: Literal["claim_result"] = "claim_result"
 
 
@@ -178,7 +205,32 @@
     kind: Literal["crash_result"] = "crash_result"
 
 
-CommandResult = ApplyResult | ClaimResult | CrashResult
+@dataclass(frozen=True, slots=True)
+class RecordResult:
+    """Answer to a record of an outcome.
+
+    Attributes:
+        recorded: False if the claim does not hold the key or had an outcome already.
+    """
+
+    recorded: bool
+    kind: Literal["record_result"] = "record_result"
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedResult:
+    """Answer to a command that every voter refuses without any change of state.
+
+    Attributes:
+        reason: Why, and what to do about it. Never contains text of a library, which
+            could differ between voters.
+    """
+
+    reason: str
+    kind: Literal["refused_result"] = "refused_result"
+
+
+CommandResult = ApplyResult | ClaimResult | CrashResult | RecordResult | RefusedResult
 
 _COMMANDS: TypeAdapter[Command] = TypeAdapter(
     Annotated[Command, Field(discriminator="kind")]
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/replicated/_state.py
@@ -0,0 +1,239 @@
+"""The state machine that every voter drives with the same log."""
+
+import json
+import math
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from pydantic import ValidationError
+
+from cuminbend.config import Configuration
+from cuminbend.exceptions import CorruptDataError
+from cuminbend.replicated._claims import ClaimTable
+from cuminbend.replicated._commands import (
+    ApplyConfiguration,
+    ApplyResult,
+    ClaimResult,
+    ClaimStatus,
+    ClaimSubmit,
+    ClaimSuspectRun,
+    ClearSuspect,
+    CommandResult,
+    ConfigurationSummary,
+    CrashResult,
+    RecordCrash,
+    RecordOutcome,
+    RecordResult,
+    RefusedResult,
+    decode_command,
+    encode_result,
+)
+from cuminbend.replicated._configurations import ConfigurationTable
+from cuminbend.replicated._limits import StateLimits
+from cuminbend.replicated._suspects import SuspectTable
+
+__all__ = ["ReplicatedState"]
+
+# Set of commands and rules that this code executes. A version that adds a kind or
+# changes a rule, including a rule of the operator file, has to raise the level with a
+# command of its own once all voters run it, and keep to the former rules until then.
+LEVEL = 1
+
+DEFAULT_RETENTION_MS = 86_400_000
+# End of the year 9999, the last that datetime can show.
+_MAX_AT_MS = 253_402_300_799_000
+
+
+class ReplicatedState:
+    """Configurations, claims and suspects.
+
+    The state depends on nothing but the entries applied: time comes with each entry.
+    A command that a voter cannot read, or whose kind it does not know, changes nothing
+    and gets :class:`RefusedResult` with the same text on every voter. A newer voter
+    must refuse a new kind in the same way until the level is raised, so voters of two
+    versions never differ; a voter refuses a snapshot above its own level.
+
+    Attributes:
+        on_configuration: Called after a version was accepted or restored. It must not
+            raise.
+    """
+
+    def __init__(self, *, limits: StateLimits | None = None) -> None:
+        limits = limits or StateLimits()
+        self.on_configuration: Callable[[], None] | None = None
+        self._now_ms = 0.0
+        self._configurations = ConfigurationTable(limits=limits)
+        self._claims = ClaimTable(limits=limits)
+        self._suspects = SuspectTable(limits=limits)
+
+    def apply(self, kind: str, data: bytes, at_ms: float) -> bytes:
+        """Apply one entry of the log.
+
+        Args:
+            kind: ``command`` for an encoded command; other kinds only carry the time.
+            data: The command as :func:`encode_command` encodes it.
+            at_ms: The leader's wall-clock time when it appended the entry, in ms
+                since the epoch.
+
+        Returns:
+            The encoded result, empty for other kinds.
+        """
+        self._advance(at_ms)
+        if kind != "command":
+            return b""
+        try:
+            command = decode_command(data)
+        except ValidationError:
+            return encode_result(
+                RefusedResult(
+                    "the command cannot be read or its kind is not known; upgrade all "
+                    "voters before sending commands of a newer version"
+                )
+            )
+        return encode_result(self._execute(command))
+
+    def _advance(self, at_ms: float) -> None:
+        if math.isfinite(at_ms) and self._now_ms < at_ms <= _MAX_AT_MS:
+            self._now_ms = at_ms
+        self._expire()
+
+    def _expire(self) -> None:
+        self._claims.expire(self._now_ms - self._retention_ms())
+        self._suspects.expire_runs(self._now_ms)
+
+    def _retention_ms(self) -> float:
+        configuration = self.configuration
+        if configuration is None:
+            return DEFAULT_RETENTION_MS
+        return configuration.claim_retention_s * 1000
+
+    @singledispatchmethod
+    def _execute(self, command: Any) -> CommandResult:
+        raise TypeError(f"no behaviour for {type(command).__name__}")
+
+    @_execute.register
+    def _(self, command: ApplyConfiguration) -> ApplyResult:
+        before = self.version
+        result = self._configurations.apply(command, self._now_ms)
+        if self.version != before:
+            self._expire()
+            self._notify()
+        return result
+
+    @_execute.register
+    def _(self, command: ClaimSubmit) -> ClaimResult | RefusedResult:
+        return self._claims.claim(command, self._now_ms)
+
+    @_execute.register
+    def _(self, command: RecordOutcome) -> RecordResult:
+        return self._claims.record(command)
+
+    @_execute.register
+    def _(self, command: RecordCrash) -> CrashResult:
+        return self._suspects.record(command)
+
+    @_execute.register
+    def _(self, command: ClaimSuspectRun) -> CrashResult:
+        return self._suspects.claim_run(command, self._now_ms)
+
+    @_execute.register
+    def _(self, command: ClearSuspect) -> CrashResult:
+        return self._suspects.clear(command)
+
+    def _notify(self) -> None:
+        if self.on_configuration is not None:
+            self.on_configuration()
+
+    def snapshot(self) -> bytes:
+        """Return the whole state; equal states give equal bytes."""
+        return json.dumps(
+            {
+                "level": LEVEL,
+                "now_ms": self._now_ms,
+                "configurations": self._configurations.snapshot(),
+                "claims": self._claims.snapshot(),
+                "suspects": self._suspects.snapshot(),
+            },
+            separators=(",", ":"),
+        ).encode()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by one that :meth:`snapshot` returned.
+
+        Raises:
+            CorruptDataError: If it is damaged or of a newer version.
+        """
+        before = self.version
+        try:
+            content = json.loads(data)
+            level = content["level"]
+        except (ValueError, KeyError, TypeError) as error:
+            raise CorruptDataError(
+                "the snapshot of the control state cannot be read; move the data "
+                "folder aside and let the voter rejoin with an empty one"
+            ) from error
+        if level > LEVEL:
+            raise CorruptDataError(
+                f"the snapshot has level {level} and this version knows {LEVEL}; "
+                "upgrade this instance"
+            )
+        self._now_ms = content["now_ms"]
+        self._configurations.restore(content["configurations"])
+        self._claims.restore(content["claims"])
+        self._suspects.restore(content["suspects"])
+        if self.version != before:
+            self._notify()
+
+    @property
+    def now_ms(self) -> float:
+        """State machine time: the greatest leader time so far, in ms."""
+        return self._now_ms
+
+    @property
+    def version(self) -> int:
+        """Version of the file in force, 0 before the first."""
+        return self._configurations.version
+
+    @property
+    def text(self) -> str:
+        """The file in force, empty before the first."""
+        return self._configurations.text
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The file in force, parsed; None before the first."""
+        return self._configurations.configuration
+
+    def history(self) -> tuple[ConfigurationSummary, ...]:
+        """Return the last versions, newest last."""
+        return tuple(self._configurations.summaries)
+
+    def text_of(self, version: int) -> str | None:
+        """Return the text of one of the last versions, or None if it is not kept."""
+        return self._configurations.text_of(version)
+
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """Fingerprints refused everywhere."""
+        return self._suspects.quarantined
+
+    @property
+    def suspects(self) -> dict[str, str]:
+        """Fingerprints that broke one upstream, with its name."""
+        return self._suspects.suspects
+
+    def claim_status(self, member: str, service: str, key: str) -> ClaimStatus | None:
+        """Return what another claim of a key would get, or None if it is free."""
+        return self._claims.status(member, service, key, self._now_ms)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state dump."""
+        return {
+            "level": LEVEL,
+            "now_ms": self._now_ms,
+            "version": self.version,
+            "claims": self._claims.dump(),
+            "suspects": self.suspects,
+            "quarantined": sorted(self.quarantined),
+        }
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/submit/_checks.py
@@ -0,0 +1,101 @@
+"""Checks of a submit before it is claimed."""
+
+from cuminbend.config import Configuration, ServiceConfig, ServiceMode
+from cuminbend.exceptions import (
+    IdempotencyError,
+    InvalidRequestError,
+    UnavailableError,
+)
+from cuminbend.replicated import key_time_ms
+from cuminbend.submit._base import SubmitRequest
+
+__all__ = ["check_configuration", "check_deadline_ms", "check_key", "check_service"]
+
+
+def check_configuration(
+    configuration: Configuration | None, *, retry_after_ms: int
+) -> Configuration:
+    """Return the configuration.
+
+    Raises:
+        UnavailableError: If there is none yet.
+    """
+    if configuration is None:
+        raise UnavailableError(
+            "no configuration is in force yet; apply a file with 'cuminbendctl apply' "
+            "or try again later",
+            retry_after_ms=retry_after_ms,
+        )
+    return configuration
+
+
+def check_service(
+    request: SubmitRequest, configuration: Configuration
+) -> ServiceConfig:
+    """Return the service that the request names.
+
+    Raises:
+        InvalidRequestError: If member or service do not exist or do not fit, or if the
+            body is too large.
+    """
+    service = configuration.services_by_name.get(request.service)
+    if request.member not in configuration.members_by_name:
+        raise InvalidRequestError(
+            f"member {request.member!r} is not declared; check the name"
+        )
+    if service is None:
+        raise InvalidRequestError(
+            f"service {request.service!r} is not declared; check the name"
+        )
+    if service.mode is not ServiceMode.SUBMIT:
+        raise InvalidRequestError(
+            f"service {service.name} takes searches only; send a search"
+        )
+    if service.members and request.member not in service.members:
+        raise InvalidRequestError(
+            f"member {request.member} may not use service {service.name}; ask an "
+            "operator to add it to the service"
+        )
+    if len(request.body) > service.max_body_bytes:
+        raise InvalidRequestError(
+            f"the body has {len(request.body)} bytes and service {service.name} takes "
+            f"at most {service.max_body_bytes}; send less"
+        )
+    return service
+
+
+def check_deadline_ms(request: SubmitRequest, configuration: Configuration) -> int:
+    """Return the time that a request of a declared member has.
+
+    Raises:
+        InvalidRequestError: If it is not positive or above the member's maximum.
+    """
+    member = configuration.members_by_name[request.member]
+    if request.deadline_ms is None:
+        return member.default_deadline_ms
+    if not 0 < request.deadline_ms <= member.max_deadline_ms:
+        raise InvalidRequestError(
+            f"the deadline of {request.deadline_ms} ms is not between 1 and "
+            f"{member.max_deadline_ms} ms, the maximum of member {member.name}"
+        )
+    return request.deadline_ms
+
+
+def check_key(key: str) -> str:
+    """Return an idempotency key in lower case.
+
+    Raises:
+        IdempotencyError: If it is missing or not a UUIDv7.
+    """
+    if not key:
+        raise IdempotencyError(
+            "the idempotency key is missing; send a new UUIDv7 with each submit and "
+            "the same one with each resend"
+        )
+    lower = key.lower()
+    if key_time_ms(lower) is None:
+        raise IdempotencyError(
+            "the idempotency key is not a UUIDv7 (RFC 9562); other versions do not "
+            "contain the time that is needed to forget the key"
+        )
+    return lower
