Add the daemon, the operator command, the stand-in and the demo

Cause: the parts of the library had no processes; a search and a booking have to travel end to end over real sockets under an applied configuration.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 check: lint types imports test demo
 
 demo: install
-	$(BIN)/python examples/demo.py
+	PYTHONPATH=fakes $(BIN)/python examples/demo.py
 
 bench: install
 	$(BIN)/python -m benchmarks
--- a/packages/cuminbend/src/cuminbend/consensus/_replica.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_replica.py
@@ -97,9 +97,10 @@
         return self._storage.voters
 
     @property
-    def led_since_ms(self) -> float | None:
+    def led_since_ms(self) -> float:
         """Monotonic time at which this replica won the election, while it leads."""
-        return self._core.led_since_ms
+        since_ms = self._core.led_since_ms
+        return since_ms if since_ms is not None else float("inf")
 
     def confirmed_at_ms(self) -> float | None:
         """Return when the last round that a majority acknowledged was started.
--- a/packages/cuminbend/src/cuminbend/exceptions.py
+++ b/packages/cuminbend/src/cuminbend/exceptions.py
@@ -23,6 +23,7 @@
     "QuarantinedError",
     "RequestFailedError",
     "RunState",
+    "SuspectError",
     "UnavailableError",
     "UpstreamError",
     "UpstreamErrorKind",
@@ -153,6 +154,24 @@
     """The request crashed two upstreams and is refused everywhere."""
 
 
+class SuspectError(RequestFailedError):
+    """The request broke one upstream and may run only once more, alone.
+
+    Attributes:
+        fingerprint: Digest of target and body.
+        first_upstream: The upstream that it broke.
+    """
+
+    def __init__(self, fingerprint: str, *, first_upstream: str) -> None:
+        self.fingerprint = fingerprint
+        self.first_upstream = first_upstream
+        super().__init__(
+            f"fingerprint {fingerprint} is suspected of breaking upstream "
+            f"{first_upstream}; send it as a suspect to another upstream",
+            run_state=RunState.NOT_RUN,
+        )
+
+
 class DeadlineExceededError(RequestFailedError):
     """The deadline passed before an answer was complete."""
 
--- a/packages/cuminbend/src/cuminbend/messages.py
+++ b/packages/cuminbend/src/cuminbend/messages.py
@@ -180,6 +180,7 @@
         revoked: Upstreams that the instance has to release.
         quarantined: Fingerprints refused everywhere.
         suspects: Fingerprints that broke one upstream, with its name.
+        in_force_version: Highest version known to be in force on every instance.
     """
 
     leader: str
@@ -194,6 +195,7 @@
     revoked: tuple[str, ...] = ()
     quarantined: tuple[str, ...] = ()
     suspects: tuple[tuple[str, str], ...] = ()
+    in_force_version: int = 0
 
 
 class WorkKind(StrEnum):
--- a/packages/cuminbend/src/cuminbend/query/__init__.py
+++ b/packages/cuminbend/src/cuminbend/query/__init__.py
@@ -6,7 +6,6 @@
     SearchAnswer,
     SearchRequest,
     ShardAnswer,
-    SuspectError,
     ViewPort,
 )
 from cuminbend.query._coordinator import QueryCoordinator
@@ -21,7 +20,6 @@
     "SearchAnswer",
     "SearchRequest",
     "ShardAnswer",
-    "SuspectError",
     "ViewPort",
     "check_search_request",
 ]
--- a/packages/cuminbend/src/cuminbend/query/_base.py
+++ b/packages/cuminbend/src/cuminbend/query/_base.py
@@ -4,7 +4,6 @@
 from typing import Protocol
 
 from cuminbend.config import Configuration
-from cuminbend.exceptions import RequestFailedError, RunState
 from cuminbend.messages import Snapshot, UpstreamRecord
 
 
@@ -77,18 +76,6 @@
         """  # noqa: D205
 
 
-class SuspectError(RequestFailedError):
-    """The fingerprint broke an upstream and may run only once more, alone.
-
-    Attributes:
-        first_upstream: The upstream that it broke.
-    """
-
-    def __init__(self, message: str, *, first_upstream: str) -> None:
-        self.first_upstream = first_upstream
-        super().__init__(message, run_state=RunState.NOT_RUN)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SearchRequest:
     """A caller's search.
--- a/packages/cuminbend/src/cuminbend/query/_canary.py
+++ b/packages/cuminbend/src/cuminbend/query/_canary.py
@@ -13,13 +13,14 @@
 from cuminbend.exceptions import (
     QuarantinedError,
     RunState,
+    SuspectError,
     UnavailableError,
     UpstreamErrorKind,
 )
 from cuminbend.messages import Snapshot, UpstreamRecord, WorkKind
 from cuminbend.ports import Clock, ms
 from cuminbend.query._attempts import AttemptSender, Outcome, SearchContext
-from cuminbend.query._base import SuspectError, ViewPort
+from cuminbend.query._base import ViewPort
 from cuminbend.query._fingerprints import (
     FingerprintBook,
     order_shards,
--- a/packages/cuminbend/src/cuminbend/sessions/_client.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_client.py
@@ -72,6 +72,7 @@
         random: RandomSource,
         boot_id: str,
         listener: OwnershipListener,
+        view: SessionView | None = None,
     ) -> None:
         self._settings = settings
         self._info = info
@@ -80,8 +81,10 @@
         self._boot_id = boot_id
         self._listener = listener
         self._voters = VoterChoice(settings=settings, clock=clock, random=random)
-        self.view = SessionView(
-            lease=Lease(clock=clock, lease_ms=settings.lease_ms), clock=clock
+        self.view = view or SessionView(
+            lease=Lease(clock=clock, lease_ms=settings.lease_ms),
+            clock=clock,
+            local_data_centre=info.data_centre,
         )
         self._term = -1
         self._registry_version = 0
@@ -237,6 +240,7 @@
             self._report_everything()
         view = self.view
         view.set("leader", reply.leader)
+        view.set("in_force_version", reply.in_force_version)
         self._take_configuration(reply)
         if not view.lease.is_valid():
             self._give_up_all()
--- a/packages/cuminbend/src/cuminbend/sessions/_coordinator.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_coordinator.py
@@ -80,6 +80,7 @@
         self._sessions: dict[tuple[str, str], Session] = {}
         self._entries: dict[str, Entry] = {}
         self._counter = 0
+        self._known_in_force = 0
         self._registry_counter = 0
         self._dirty = True
         self._maintained_at_ms = float("-inf")
@@ -509,8 +510,15 @@
             revoked=tuple(item.upstream for item in grants if item.revoking),
             quarantined=tuple(sorted(configuration.quarantined)),
             suspects=tuple(sorted(configuration.suspects.items())),
+            in_force_version=self._in_force_version(),
         )
 
+    def _in_force_version(self) -> int:
+        version = self._configuration.version
+        if version > self._known_in_force and self.in_force(version).everywhere:
+            self._known_in_force = version
+        return self._known_in_force
+
     def _wake_all(self) -> None:
         for session in self._sessions.values():
             session.wake()
--- a/packages/cuminbend/src/cuminbend/sessions/_view.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_view.py
@@ -28,12 +28,18 @@
         quarantined: Fingerprints refused everywhere.
         suspects: Fingerprints that broke one upstream, with its name.
         leader: Instance that answered the last poll.
+        local_data_centre: Data centre of this instance.
+        in_force_version: Highest version known to be in force on every instance.
         since: Wall-clock time of the last change of each part, by its name.
     """
 
-    def __init__(self, *, lease: Lease, clock: Clock) -> None:
+    def __init__(
+        self, *, lease: Lease, clock: Clock, local_data_centre: str = ""
+    ) -> None:
         self._clock = clock
         self.lease = lease
+        self.local_data_centre = local_data_centre
+        self.in_force_version = 0
         self.configuration: Configuration | None = None
         self.configuration_version = 0
         self.configuration_text = ""
--- a/packages/cuminbend/src/cuminbend/sessions/tests/test_smoke.py
+++ b/packages/cuminbend/src/cuminbend/sessions/tests/test_smoke.py
@@ -5,6 +5,7 @@
 
 import trio
 import trio.testing
+
 from cuminbend.messages import InstanceInfo, PollReply, PollRequest
 from cuminbend.sessions import (
     CoordinatorSettings,
--- a/packages/cuminbend/src/cuminbend/upstreams/__init__.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/__init__.py
@@ -1,6 +1,6 @@
 """Admission of work to one upstream at its owner."""
 
-from cuminbend.upstreams._base import LeaseView, MemberShares, SuspectError
+from cuminbend.upstreams._base import LeaseView, MemberShares
 from cuminbend.upstreams._gate import UpstreamGate
 from cuminbend.upstreams._settings import GateSettings
 from cuminbend.upstreams._suspects import SuspectMemory
@@ -11,7 +11,6 @@
     "GateTable",
     "LeaseView",
     "MemberShares",
-    "SuspectError",
     "SuspectMemory",
     "UpstreamGate",
 ]
--- a/packages/cuminbend/src/cuminbend/upstreams/_suspects.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_suspects.py
@@ -4,8 +4,8 @@
 
 import anyio
 
+from cuminbend.exceptions import SuspectError
 from cuminbend.ports import Clock
-from cuminbend.upstreams._base import SuspectError
 from cuminbend.upstreams._settings import GateSettings
 
 
--- /dev/null
+++ b/packages/cuminbendctl/src/cuminbendctl/_main.py
@@ -0,0 +1,275 @@
+"""The ``cuminbendctl`` command."""
+
+import getpass
+import sys
+import time
+from pathlib import Path
+from typing import Annotated, Any
+
+import cyclopts
+import orjson
+import uuid6
+from cuminbend.config import parse_configuration
+from cuminbend.exceptions import ConfigurationError, CuminbendError
+
+from cuminbendctl._client import InstanceClient, RefusedError, UnreachableError
+from cuminbendctl._render import render
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_CONFLICT = 3
+EXIT_UNREACHABLE = 4
+EXIT_NOT_IN_FORCE = 5
+
+STATUS_CONFLICT = 409
+POLL_S = 0.1
+
+app = cyclopts.App(
+    name="cuminbendctl",
+    help=(
+        "Operate a cuminbend query tier.\n\n"
+        "Exit codes: 0 done, 1 refused, 2 wrong usage or invalid file, 3 conflict with "
+        "another change, 4 no instance reachable, 5 accepted but not yet in force "
+        "everywhere."
+    ),
+)
+
+Address = Annotated[
+    list[str],
+    cyclopts.Parameter(
+        name="--address",
+        help="Caller address of an instance, as ip:port; repeat to name several.",
+        env_var="CUMINBEND_ADDRESS",
+    ),
+]
+Json = Annotated[
+    bool, cyclopts.Parameter(name="--json", negative=(), help="Print JSON.")
+]
+
+
+@app.command
+def validate(file: Path, *, json: Json = False) -> int:
+    """Check an operator file without applying it."""
+    configuration = parse_configuration(_read(file))
+    _print(
+        {
+            "valid": True,
+            "cluster": configuration.cluster,
+            "members": len(configuration.members),
+            "services": len(configuration.services),
+        },
+        json,
+    )
+    return 0
+
+
+@app.command
+def apply(
+    file: Path,
+    *,
+    address: Address,
+    base_version: int | None = None,
+    apply_id: str | None = None,
+    wait_s: float = 15.0,
+    json: Json = False,
+) -> int:
+    """Put an operator file in force as a whole.
+
+    Args:
+        file: Operator file.
+        base_version: Version that the file was based on; the one in force if absent.
+        apply_id: Id of this apply. Give the one that was printed to resend an apply
+            whose answer was lost.
+        wait_s: How long to wait until the file is in force everywhere.
+    """
+    text = _read(file)
+    parse_configuration(text)
+    client = InstanceClient(addresses=address)
+    if base_version is None:
+        current = client.request("GET", "/v1/configuration").document
+        base_version = int(current["version"])
+    apply_id = apply_id or str(uuid6.uuid7())
+    print(f"apply id {apply_id}, based on version {base_version}", file=sys.stderr)
+    body = {
+        "apply_id": apply_id,
+        "base_version": base_version,
+        "operator": getpass.getuser(),
+        "text": text,
+    }
+    result = client.request(
+        "POST", "/v1/configuration", content=orjson.dumps(body), refused_elsewhere=True
+    ).document
+    in_force = _wait_in_force(client, int(result["version"]), wait_s)
+    _print({**result, "apply_id": apply_id, "in_force": in_force}, json)
+    return 0 if in_force else EXIT_NOT_IN_FORCE
+
+
+def _wait_in_force(client: InstanceClient, version: int, wait_s: float) -> bool:
+    deadline_s = time.monotonic() + wait_s
+    while time.monotonic() < deadline_s:
+        document = client.request("GET", "/v1/configuration").document
+        if int(document["in_force_version"]) >= version:
+            return True
+        time.sleep(POLL_S)
+    return False
+
+
+@app.command
+def status(*, address: Address, json: Json = False) -> int:
+    """Show leader, configuration version, instances and upstreams."""
+    document = InstanceClient(addresses=address).request("GET", "/v1/status").document
+    _print(document, json)
+    return 0
+
+
+@app.command
+def history(*, address: Address, json: Json = False) -> int:
+    """Show which configurations were accepted."""
+    client = InstanceClient(addresses=address)
+    reply = client.request("GET", "/v1/configuration/history", refused_elsewhere=True)
+    _print(reply.document, json)
+    return 0
+
+
+@app.command
+def drain(*, address: Address, json: Json = False) -> int:
+    """Ask one instance for a planned stop."""
+    client = InstanceClient(addresses=address[:1])
+    _print(client.request("POST", "/v1/drain").document, json)
+    return 0
+
+
+@app.command
+def dump(*, address: Address) -> int:
+    """Print what one instance believes, as JSON."""
+    client = InstanceClient(addresses=address[:1])
+    _print(client.request("GET", "/v1/dump").document, as_json=True)
+    return 0
+
+
+@app.command
+def report(*, address: Address, json: Json = False) -> int:
+    """Show counts and latencies per member, as one instance saw them."""
+    client = InstanceClient(addresses=address[:1])
+    _print(client.request("GET", "/v1/report").document, json)
+    return 0
+
+
+@app.command
+def query(
+    target: str,
+    body: str = "{}",
+    *,
+    address: Address,
+    member: str,
+    deadline_ms: int | None = None,
+    json: Json = False,
+) -> int:
+    """Search a service or a group of services.
+
+    Args:
+        target: Service or group.
+        body: JSON body that the searchers get.
+        member: Member on whose behalf to search.
+        deadline_ms: Deadline; the member's default if absent.
+    """
+    headers = _caller_headers(member, deadline_ms)
+    reply = InstanceClient(addresses=address).request(
+        "POST",
+        f"/v1/search/{target}",
+        content=body.encode(),
+        headers=headers,
+        refused_elsewhere=True,
+    )
+    _print(reply.document, json)
+    return 0
+
+
+@app.command
+def submit(
+    service: str,
+    body: str = "{}",
+    *,
+    address: Address,
+    member: str,
+    key: str | None = None,
+    deadline_ms: int | None = None,
+    json: Json = False,
+) -> int:
+    """Send a request that may not run more than once.
+
+    Args:
+        service: Service that takes submits.
+        body: JSON body that the upstream gets.
+        member: Member on whose behalf to submit.
+        key: Idempotency key, a UUIDv7. Give the one that was printed to send a
+            request again whose answer was lost.
+        deadline_ms: Deadline; the member's default if absent.
+    """
+    key = key or str(uuid6.uuid7())
+    print(f"idempotency key {key}", file=sys.stderr)
+    headers = {**_caller_headers(member, deadline_ms), "idempotency-key": key}
+    reply = InstanceClient(addresses=address).request(
+        "POST", f"/v1/submit/{service}", content=body.encode(), headers=headers
+    )
+    _print({**reply.document, "key": key}, json)
+    return 0
+
+
+def _caller_headers(member: str, deadline_ms: int | None) -> dict[str, str]:
+    headers = {"x-member": member}
+    if deadline_ms is not None:
+        headers["x-deadline-ms"] = str(deadline_ms)
+    return headers
+
+
+def _read(file: Path) -> str:
+    try:
+        return file.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigurationError([f"{file}: cannot be read ({error})"]) from error
+
+
+def _print(document: Any, as_json: bool) -> None:
+    if as_json:
+        print(orjson.dumps(document, option=orjson.OPT_INDENT_2).decode())
+    else:
+        print(render(document))
+
+
+def run(arguments: list[str] | None = None) -> int:
+    """Run the command and return its exit code."""
+    try:
+        return int(app(arguments, result_action="return_value") or 0)
+    except ConfigurationError as error:
+        for problem in error.problems:
+            print(f"cuminbendctl: {problem}", file=sys.stderr)
+        return EXIT_USAGE
+    except RefusedError as error:
+        return _report_refusal(error)
+    except UnreachableError as error:
+        print(f"cuminbendctl: {error}", file=sys.stderr)
+        return EXIT_UNREACHABLE
+    except CuminbendError as error:
+        print(f"cuminbendctl: {error}", file=sys.stderr)
+        return EXIT_REFUSED
+
+
+def _report_refusal(error: RefusedError) -> int:
+    document = error.document
+    for problem in document.get("problems") or [document.get("detail", document)]:
+        print(f"cuminbendctl: {problem}", file=sys.stderr)
+    if "run_state" in document:
+        print(
+            f"cuminbendctl: run state {document['run_state']}, retry after "
+            f"{document.get('retry_after_ms')} ms",
+            file=sys.stderr,
+        )
+    if document.get("status") == STATUS_CONFLICT:
+        return EXIT_CONFLICT
+    return EXIT_REFUSED
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    sys.exit(run())
--- /dev/null
+++ b/packages/cuminbendctl/src/cuminbendctl/_render.py
@@ -0,0 +1,53 @@
+"""Renders JSON documents as text for people."""
+
+from collections.abc import Iterator
+from typing import Any
+
+
+def render(document: Any) -> str:
+    """Return a document as indented ``key: value`` lines, lists of rows as tables."""
+    return "\n".join(_lines(document, 0))
+
+
+def _lines(value: Any, depth: int) -> Iterator[str]:
+    pad = "  " * depth
+    if isinstance(value, dict):
+        for key, item in value.items():
+            if _is_table(item):
+                yield f"{pad}{key}:"
+                yield from _table(item, depth + 1)
+            elif isinstance(item, dict) and item:
+                yield f"{pad}{key}:"
+                yield from _lines(item, depth + 1)
+            else:
+                yield f"{pad}{key}: {_scalar(item)}"
+    else:
+        yield f"{pad}{_scalar(value)}"
+
+
+def _is_table(value: Any) -> bool:
+    return (
+        isinstance(value, list)
+        and bool(value)
+        and all(isinstance(row, dict) for row in value)
+    )
+
+
+def _table(rows: list[dict[str, Any]], depth: int) -> Iterator[str]:
+    columns = list(rows[0])
+    cells = [[_scalar(row.get(column)) for column in columns] for row in rows]
+    widths = [
+        max(len(column), *(len(row[index]) for row in cells))
+        for index, column in enumerate(columns)
+    ]
+    for line in [columns, *cells]:
+        padded = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        yield ("  " * depth + "  ".join(padded)).rstrip()
+
+
+def _scalar(value: Any) -> str:
+    if isinstance(value, list):
+        return ", ".join(_scalar(item) for item in value) or "-"
+    if value is None:
+        return "-"
+    return str(value)
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/_observers.py
@@ -0,0 +1,75 @@
+"""Small adapters between the library's parts of one instance."""
+
+from typing import Any
+
+from cuminbend.accounts import MemberAccounts
+from cuminbend.exceptions import UnavailableError
+from cuminbend.messages import WorkKind
+from cuminbend.sessions import SessionView
+
+
+class ConfiguredShares:
+    """Weights of members from the configuration in force."""
+
+    def __init__(self, *, view: SessionView) -> None:
+        self._view = view
+
+    def share(self, member: str) -> float:
+        """Return the weight of a member, 1 if it is not configured."""
+        configuration = self._view.configuration
+        if configuration is None or member not in configuration.members_by_name:
+            return 1.0
+        return configuration.members_by_name[member].share
+
+
+class SearchAccounts:
+    """Books searches on the accounts of their members."""
+
+    def __init__(self, *, accounts: MemberAccounts) -> None:
+        self._accounts = accounts
+
+    def search_finished(
+        self,
+        *,
+        member: str,
+        service: str,
+        outcome: str,
+        latency_ms: float,
+        shards_total: int,
+        shards_answered: int,
+    ) -> None:
+        """Book a search that ended."""
+        if outcome in ("ok", "partial"):
+            self._accounts.search_finished(
+                member=member,
+                service=service,
+                latency_ms=latency_ms,
+                deadline_ms=float("inf"),
+                coverage=shards_answered / shards_total,
+            )
+        else:
+            self._accounts.refused(
+                member=member, service=service, error=UnavailableError(outcome)
+            )
+
+    def attempt(
+        self, *, member: str, service: str, outcome: str, latency_ms: float
+    ) -> None:
+        """Book a request to an upstream."""
+        self._accounts.attempt(member=member, service=service, kind=WorkKind.SEARCH)
+
+
+def dump_view(view: SessionView) -> dict[str, Any]:
+    """Return what the instance believes of the cluster, and since when."""
+    return {
+        "lease_remaining_ms": view.lease.remaining_ms(),
+        "leader": view.leader,
+        "configuration_version": view.configuration_version,
+        "in_force_version": view.in_force_version,
+        "owned": sorted(view.owned),
+        "upstreams": len(view.upstreams),
+        "instances": [item.instance for item in view.instances],
+        "quarantined": len(view.quarantined),
+        "suspects": dict(view.suspects),
+        "since": {name: at.isoformat() for name, at in view.since.items()},
+    }
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/callers/_metrics.py
@@ -0,0 +1,51 @@
+"""Metrics in the Prometheus text format."""
+
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any
+
+from aioprometheus.collectors import Gauge, Registry
+from aioprometheus.renderer import render
+from starlette.requests import Request
+from starlette.responses import Response
+
+if TYPE_CHECKING:
+    from cuminbendd.callers._app import CallerServices
+
+
+def metrics_response(services: "CallerServices", request: Request) -> Response:
+    """Return the metrics of this instance.
+
+    The registry is filled when it is read, from counters that the library keeps
+    without any metrics library.
+    """
+    registry = Registry()
+    view = services.sessions.view
+    _gauge(registry, "cuminbend_lease_remaining_ms", "Time left of the lease.").set(
+        {}, max(0.0, view.lease.remaining_ms())
+    )
+    _gauge(
+        registry, "cuminbend_configuration_version", "Configuration version held."
+    ).set({}, view.configuration_version)
+    owned = _gauge(registry, "cuminbend_owned_upstreams", "Upstreams owned.")
+    owned.set({}, len(view.owned))
+    _member_metrics(registry, services)
+    content, headers = render(registry, request.headers.getlist("accept"))
+    return Response(content, headers=headers)
+
+
+def _member_metrics(registry: Registry, services: "CallerServices") -> None:
+    gauges: dict[str, Any] = {}
+    for member in services.accounts.report():
+        for row in member.services:
+            labels = {"member": member.member, "service": row.service}
+            for name, value in asdict(row).items():
+                if not isinstance(value, int | float):
+                    continue
+                metric = f"cuminbend_member_{name}"
+                if metric not in gauges:
+                    gauges[metric] = _gauge(registry, metric, name.replace("_", " "))
+                gauges[metric].set(labels, value)
+
+
+def _gauge(registry: Registry, name: str, text: str) -> Gauge:
+    return Gauge(name, text, registry=registry)
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/peers/_client.py
@@ -0,0 +1,161 @@
+"""Channels to other instances and unary calls over them."""
+
+import logging
+from typing import Any
+
+import anyio
+import grpc
+import grpc.aio
+from cuminbend import consensus
+from cuminbend.exceptions import NotLeaderError, PeerUnreachableError
+from cuminbend.messages import PollReply, PollRequest
+
+from cuminbendd.peers._codec import PROTOCOL_VERSION, from_wire, to_wire
+from cuminbendd.proto import cuminbend_v1_pb2 as pb
+from cuminbendd.proto import cuminbend_v1_pb2_grpc as pb_grpc
+
+logger = logging.getLogger(__name__)
+
+# A snapshot of the control log may pass the 4 MiB that gRPC allows by default.
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+CHANNEL_OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+    ("grpc.enable_retries", 0),
+]
+
+_METHODS = {
+    consensus.VoteRequest: ("RequestVote", consensus.VoteReply),
+    consensus.AppendRequest: ("AppendEntries", consensus.AppendReply),
+    consensus.SnapshotRequest: ("InstallSnapshot", consensus.SnapshotReply),
+    consensus.TimeoutNowRequest: ("TimeoutNow", consensus.TimeoutNowReply),
+    consensus.IdentifyRequest: ("Identify", consensus.IdentifyReply),
+}
+
+
+class PeerClients:
+    """Channels by instance; implements the consensus and poll transports.
+
+    A channel on which a call timed out is replaced, because its connection may have
+    gone silent for good while a new one works.
+    """
+
+    def __init__(self, *, addresses: dict[str, str]) -> None:
+        self._addresses = dict(addresses)
+        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._stubs: dict[tuple[str, type], Any] = {}
+
+    def learn(self, instance: str, address: str) -> None:
+        """Record the peer address of an instance."""
+        if self._addresses.get(instance) != address:
+            self._addresses[instance] = address
+            self._drop_stubs(instance)
+            self._channels.pop(instance, None)
+
+    def channel(self, instance: str) -> grpc.aio.Channel:
+        """Return the channel to an instance.
+
+        Raises:
+            PeerUnreachableError: If its address is not known.
+        """
+        if instance not in self._addresses:
+            raise PeerUnreachableError(instance, sent=False)
+        if instance not in self._channels:
+            self._channels[instance] = grpc.aio.insecure_channel(
+                self._addresses[instance], options=CHANNEL_OPTIONS
+            )
+        return self._channels[instance]
+
+    async def replace_channel(self, instance: str, used: grpc.aio.Channel) -> None:
+        """Abandon a channel that went silent, unless it was replaced already."""
+        if self._channels.get(instance) is not used:
+            return
+        del self._channels[instance]
+        self._drop_stubs(instance)
+        with anyio.CancelScope(shield=True):
+            await used.close(grace=None)
+
+    async def close(self) -> None:
+        """Close all channels."""
+        channels = list(self._channels.values())
+        self._channels.clear()
+        self._stubs.clear()
+        for channel in channels:
+            await channel.close(grace=None)
+
+    async def call(self, instance: str, request: Any, timeout_ms: float) -> Any:
+        """Send a message of the control log; see ConsensusTransport."""
+        method, reply_class = _METHODS[type(request)]
+        reply = await self.unary(
+            instance, pb_grpc.ConsensusStub, method, to_wire(request), timeout_ms
+        )
+        return from_wire(reply_class, reply)
+
+    async def poll(
+        self, instance: str, request: PollRequest, timeout_ms: float
+    ) -> PollReply:
+        """Send a poll; see PollTransport."""
+        return await self.send_poll(instance, to_wire(request), timeout_ms)
+
+    async def send_poll(
+        self, instance: str, message: pb.PollRequest, timeout_ms: float
+    ) -> PollReply:
+        """Send a poll that is already in wire form."""
+        reply = await self.unary(
+            instance, pb_grpc.ControlStub, "Poll", message, timeout_ms
+        )
+        return from_wire(PollReply, reply)
+
+    async def propose(
+        self, instance: str, command: bytes, timeout_ms: float, *, forwarded: bool
+    ) -> bytes:
+        """Send an encoded command to a voter and return the encoded result.
+
+        Raises:
+            NotLeaderError: If the voter certainly did not take the command.
+            PeerUnreachableError: If its fate is not known.
+        """
+        message = pb.ProposeRequest(
+            protocol_version=PROTOCOL_VERSION,
+            command=command,
+            timeout_ms=timeout_ms,
+            forwarded=forwarded,
+        )
+        reply = await self.unary(
+            instance, pb_grpc.ControlStub, "Propose", message, timeout_ms
+        )
+        return bytes(reply.result)
+
+    async def unary(
+        self, instance: str, stub: type, method: str, message: Any, timeout_ms: float
+    ) -> Any:
+        """Make one unary call.
+
+        Raises:
+            NotLeaderError: If the other side says that it does not lead.
+            PeerUnreachableError: If there was no answer in time.
+        """
+        channel = self.channel(instance)
+        key = (instance, stub)
+        if key not in self._stubs:
+            self._stubs[key] = stub(channel)
+        call = getattr(self._stubs[key], method)
+        try:
+            return await call(message, timeout=max(timeout_ms, 1.0) / 1000)
+        except grpc.aio.AioRpcError as error:
+            code = error.code()
+            if code == grpc.StatusCode.FAILED_PRECONDITION:
+                raise NotLeaderError(error.details() or None) from error
+            if code == grpc.StatusCode.DEADLINE_EXCEEDED:
+                await self.replace_channel(instance, channel)
+            raise PeerUnreachableError(instance, sent=True) from error
+        except grpc.aio.UsageError as error:
+            raise PeerUnreachableError(instance, sent=False) from error
+
+    def _drop_stubs(self, instance: str) -> None:
+        for key in [key for key in self._stubs if key[0] == instance]:
+            del self._stubs[key]
