Add policy benchmarks on virtual time

Cause: the policies under load need figures that are the same on every run.

Change: instances of the library in one process on trio's MockClock with fakes at the ports, and one benchmark per question. A duration of ms() is rounded up to a microsecond: rounded down, a wait for the rest of an interval became no wait and spun on virtual time.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	PYTHONPATH=fakes $(BIN)/python examples/demo.py
 
 bench: install
-	$(BIN)/python -m benchmarks
+	PYTHONPATH=fakes:. $(BIN)/python -m benchmarks $(NAMES)
 
 proto: install
 	$(BIN)/python -m grpc_tools.protoc -I packages/cuminbendd/src \
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: one module per question, run by ``make bench``."""
--- a/packages/cuminbend/src/cuminbend/ports/_clock.py
+++ b/packages/cuminbend/src/cuminbend/ports/_clock.py
@@ -1,12 +1,17 @@
 """Time and random numbers."""
 
+import math
 from datetime import datetime, timedelta
 from typing import Protocol
 
 
 def ms(value: float) -> timedelta:
-    """Return a duration of ``value`` milliseconds."""
-    return timedelta(milliseconds=value)
+    """Return a duration of ``value`` milliseconds, rounded up to a microsecond.
+
+    Rounding down would turn a short remaining time into no wait at all, and a loop
+    that waits for the rest of an interval would spin.
+    """
+    return timedelta(microseconds=math.ceil(value * 1000))
 
 
 class Clock(Protocol):
