Harden the control log against disk and network faults

A disk may vote once a peer's log names it.

Each waiting task starts one timer per wait instead of one per change. Ruled out: swapping a lost disk for a new one in a single entry, because the two sets of voters have majorities that do not intersect.

--- a/packages/cuminbend/src/cuminbend/consensus/_core.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_core.py
@@ -1,7 +1,8 @@
 """State of a replica that its parts share."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -52,8 +53,9 @@
 class ReplicaCore:
     """Term, role, voters and commit index of a replica.
 
-    ``lock`` is held by whoever changes the files; memory is only changed between two
-    awaits. ``changed`` is a broadcast: every task that waits re-examines the state.
+    ``lock`` is held by whoever changes the log or the vote, ``snapshot_lock`` by
+    whoever writes a snapshot, and that one is taken first. Memory is only changed
+    between two awaits. A change wakes every waiting task, which looks again.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self.random = random
         self.state_machine = state_machine
         self.lock = anyio.Lock()
+        self.snapshot_lock = anyio.Lock()
         self.started = False
         self.role = Role.FOLLOWER
         self.leader: str | None = None
@@ -104,12 +107,24 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    async def wait_changed(self, timeout_ms: float) -> None:
-        """Return on the next change, or after ``timeout_ms``."""
-        await self.wait(self._changed, timeout_ms)
-
     async def wait(self, event: anyio.Event, timeout_ms: float) -> bool:
         """Return whether ``event`` is set within ``timeout_ms``."""
+        async with self._time_limit(timeout_ms):
+            await event.wait()
+        return event.is_set()
+
+    async def wait_until(self, ready: Callable[[], bool], timeout_ms: float) -> bool:
+        """Return whether ``ready`` becomes true within ``timeout_ms``."""
+        if ready():
+            return True
+        async with self._time_limit(timeout_ms):
+            while not ready():
+                await self._changed.wait()
+        return ready()
+
+    @asynccontextmanager
+    async def _time_limit(self, timeout_ms: float) -> AsyncIterator[None]:
+        """Cancel the block after ``timeout_ms`` of the clock that was passed in."""
         async with anyio.create_task_group() as group:
 
             async def expire() -> None:
@@ -117,19 +132,8 @@
                 group.cancel_scope.cancel()
 
             group.start_soon(expire)
-            await event.wait()
+            yield
             group.cancel_scope.cancel()
-        return event.is_set()
-
-    async def wait_until(self, ready: Callable[[], bool], timeout_ms: float) -> bool:
-        """Return whether ``ready`` becomes true within ``timeout_ms``."""
-        end_ms = self.clock.monotonic_ms() + timeout_ms
-        while not ready():
-            remaining_ms = end_ms - self.clock.monotonic_ms()
-            if remaining_ms <= 0:
-                return False
-            await self.wait_changed(remaining_ms)
-        return True
 
     # Identity
 
@@ -147,12 +151,11 @@
     def may_vote(self) -> bool:
         """Whether this disk may grant votes.
 
-        A disk with an empty log may when a peer's log names it as a voter: that log
-        was written by this cluster's first start.
+        A disk whose own log does not name it yet may if a peer's log does: at the
+        first start, or when a leader stopped before it had replicated the entry that
+        adds this disk. Without its vote no candidate might have a majority then.
         """
-        if self.storage.empty:
-            return self.me in self.hinted_voters
-        return self.is_voter
+        return self.is_voter or self.me in self.hinted_voters
 
     @property
     def hears_leader(self) -> bool:
@@ -224,15 +227,36 @@
 
         Otherwise a voter with a full disk could win elections that it cannot use.
         """
+        if self.disk_works:
+            logger.error(
+                "event=disk_error instance=%s error=%s", self.settings.instance, error
+            )
         self.disk_works = False
-        logger.error(
-            "event=disk_error instance=%s error=%s", self.settings.instance, error
-        )
+        self.notify()
+
+    async def probe_disk(self) -> bool:
+        """Return whether the disk can be written now."""
+        try:
+            async with self.lock:
+                await self.storage.check_writable()
+        except DiskError as error:
+            self.report_disk_error(error)
+            return False
+        self.disk_works = True
+        return True
 
     # Commit
 
     def expect(self, entry: Entry, proposal: Proposal) -> None:
         """Give ``proposal`` the result of ``entry`` once that is applied."""
+        _, former = self._waiting.get(entry.index, (0, None))
+        if former is not None:
+            former.fail(
+                NoQuorumError(
+                    "the leader lost the entry of this command when it lost its term; "
+                    "send the command again with the same id"
+                )
+            )
         self._waiting[entry.index] = (entry.term, proposal)
 
     def advance_commit(self, index: int) -> None:
--- a/packages/cuminbend/src/cuminbend/consensus/_following.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_following.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import anyio
+
 from cuminbend.consensus._core import ReplicaCore
 from cuminbend.consensus._messages import (
     AppendReply,
@@ -21,6 +23,11 @@
 
 async def handle_append(core: ReplicaCore, request: AppendRequest) -> AppendReply:
     """Write the entries of the leader and answer once they are synced."""
+    if _is_heartbeat_during_write(core, request):
+        core.follow(request.leader)
+        conflict = _find_conflict(core, request)
+        last_index = request.prev_index if conflict is None else conflict
+        return _reply(core, request, success=conflict is None, last_index=last_index)
     async with core.lock:
         if not await _accept_leader(core, request.term, request.leader):
             return _reply(core, request, success=False, last_index=0)
@@ -40,12 +47,28 @@
         return _reply(core, request, success=True, last_index=last_index)
 
 
+def _is_heartbeat_during_write(core: ReplicaCore, request: AppendRequest) -> bool:
+    """Return whether a message can and has to be answered without the lock.
+
+    Writing a snapshot can take longer than an election timeout, and voters take
+    theirs at about the same time; the leader would lose its majority meanwhile.
+    """
+    return (
+        core.lock.locked() and not request.entries and request.term == core.storage.term
+    )
+
+
 async def _accept_leader(core: ReplicaCore, term: int, leader: str) -> bool:
     """Return whether a message is of the current leader, and note that it lives."""
     if term < core.storage.term:
         return False
     if term > core.storage.term:
-        await core.adopt_term(term)
+        try:
+            await core.adopt_term(term)
+        except DiskError as error:
+            # The new leader is confirmed even so, for the leases of instances.
+            core.report_disk_error(error)
+            core.storage.note_term(term)
     core.follow(leader)
     return True
 
@@ -111,15 +134,17 @@
 
 async def handle_snapshot(core: ReplicaCore, request: SnapshotRequest) -> SnapshotReply:
     """Replace log and state machine by a snapshot unless they are as far already."""
-    async with core.lock:
+    async with core.snapshot_lock, core.lock:
         if not await _accept_leader(core, request.term, request.leader):
             return SnapshotReply(core.storage.term, 0, core.storage.disk_id)
         if request.last_index > core.commit_index:
             snapshot = LogSnapshot(
                 request.last_index, request.last_term, request.voters, request.data
             )
-            await core.storage.save_snapshot(snapshot)
-            core.restore_snapshot()
+            # Memory must not stay behind the disk when the caller gives up.
+            with anyio.CancelScope(shield=True):
+                await core.storage.save_snapshot(snapshot)
+                core.restore_snapshot()
             core.follow(request.leader)
         return SnapshotReply(core.storage.term, core.commit_index, core.storage.disk_id)
 
@@ -131,20 +156,26 @@
             await core.wait_until(lambda: _snapshot_due(core), _IDLE_MS)
             continue
         try:
-            async with core.lock:
-                index = core.commit_index
-                snapshot = LogSnapshot(
-                    index=index,
-                    term=core.storage.term_at(index) or 0,
-                    voters=core.storage.voters_at(index),
-                    data=core.state_machine.snapshot(),
-                )
-                await core.storage.save_snapshot(snapshot)
+            async with core.snapshot_lock:
+                await _store_snapshot(core)
         except DiskError as error:
             core.report_disk_error(error)
             await core.clock.sleep(ms(core.settings.disk_retry_ms))
 
 
+async def _store_snapshot(core: ReplicaCore) -> None:
+    index = core.commit_index
+    snapshot = LogSnapshot(
+        index=index,
+        term=core.storage.term_at(index) or 0,
+        voters=core.storage.voters_at(index),
+        data=core.state_machine.snapshot(),
+    )
+    await core.storage.write_snapshot(snapshot)
+    async with core.lock:
+        await core.storage.compact(snapshot)
+
+
 def _snapshot_due(core: ReplicaCore) -> bool:
     snapshot = core.storage.snapshot
     applied = core.commit_index - (snapshot.index if snapshot else 0)
--- a/packages/cuminbend/src/cuminbend/consensus/_joining.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_joining.py
@@ -19,14 +19,13 @@
 async def join(core: ReplicaCore) -> None:
     """Do one step towards taking part.
 
-    A disk with a log waits until the leader has added it to the voters. With an empty
+    A disk that is not a voter's waits until the leader has added it. With an empty
     log, the cluster may have to be started.
     """
-    settings = core.settings
-    if core.storage.empty and settings.instance in settings.initial_voters:
+    if not core.hears_leader or core.storage.empty:
         replies = await _identify_peers(core)
         _take_hint(core, replies)
-        if _may_bootstrap(core, replies):
+        if core.storage.empty and _may_bootstrap(core, replies):
             await _bootstrap(core, replies)
             return
     await core.wait_until(lambda: core.is_voter, IDENTIFY_INTERVAL_MS)
@@ -53,7 +52,7 @@
 
 
 def _take_hint(core: ReplicaCore, replies: list[IdentifyReply]) -> None:
-    """Note that a peer's log names this empty disk as a voter."""
+    """Note that a peer's log names this disk as a voter."""
     for reply in replies:
         if core.me in reply.voters:
             core.hinted_voters = reply.voters
--- a/packages/cuminbend/src/cuminbend/consensus/_leadership.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_leadership.py
@@ -26,9 +26,11 @@
     NoQuorumError,
     NotLeaderError,
 )
+from cuminbend.ports import ms
 
 logger = logging.getLogger(__name__)
 
+_IDLE_MS = 60_000
 _EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
 
@@ -40,7 +42,9 @@
         disk_id: Disk that the instance reported last; empty before the first reply.
         match_index: Last entry known to be on that disk.
         acknowledged_ms: When the latest message that it answered was sent.
-        failures: Messages without an answer since the last one answered.
+        failing: Whether the last message got no answer. The next one is a heartbeat
+            then: a peer that is busy writing answers it, and one that is gone costs
+            little.
     """
 
     instance: str
@@ -50,6 +54,7 @@
     acknowledged_ms: float = -math.inf
     last_contact_ms: float = -math.inf
     round: int = 0
+    failing: bool = False
 
     def note_reply(self, disk_id: str, *, sent_ms: float, now_ms: float) -> None:
         """Note an answer in the leader's term; another disk starts from nothing."""
@@ -73,6 +78,7 @@
         self._first_index = core.storage.last_index + 1
         self._started_ms = core.clock.monotonic_ms()
         self._transferring = False
+        self._write_start_ms: float | None = None
 
     @property
     def active(self) -> bool:
@@ -85,8 +91,9 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self._write_proposals)
                 group.start_soon(self._supervise, group)
+                group.start_soon(self._watch_disk)
                 while self.active:
-                    await self._core.wait_changed(self._core.settings.heartbeat_ms)
+                    await self._core.wait_until(lambda: not self.active, _IDLE_MS)
                 group.cancel_scope.cancel()
         finally:
             for proposal in self._pending:
@@ -143,17 +150,19 @@
             Entry(start + offset, self.term, proposal.kind, proposal.data, at_ms)
             for offset, proposal in enumerate(batch)
         ]
+        self._write_start_ms = core.clock.monotonic_ms()
         try:
             await self._storage.append(entries)
         except DiskError as error:
-            core.report_disk_error(error)
             for proposal in batch:
                 self._discard(proposal)
                 proposal.fail(
                     NoQuorumError(f"the leader could not write the command: {error}")
                 )
-            core.step_down()
+            core.report_disk_error(error)
             return
+        finally:
+            self._write_start_ms = None
         for entry, proposal in zip(entries, batch, strict=True):
             self._discard(proposal)
             core.expect(entry, proposal)
@@ -167,6 +176,43 @@
         if proposal in self._pending:
             self._pending.remove(proposal)
 
+    async def _watch_disk(self) -> None:
+        """Stop leading if the disk fails.
+
+        A leader that is established hands over, and steps down when another voter
+        takes over. While none can, for instance because all disks are full, it goes
+        on to lead without taking proposals, so that leases are still renewed.
+        """
+        core = self._core
+        while self.active:
+            await core.wait_until(
+                lambda: not core.disk_works, core.settings.heartbeat_ms
+            )
+            if self._write_hangs():
+                logger.error(
+                    "event=disk_hangs instance=%s term=%d",
+                    core.settings.instance,
+                    self.term,
+                )
+                core.step_down()
+            elif not core.disk_works and not self.established:
+                core.step_down()
+            elif not core.disk_works:
+                await self._hand_over()
+
+    def _write_hangs(self) -> bool:
+        if self._write_start_ms is None:
+            return False
+        duration_ms = self._core.clock.monotonic_ms() - self._write_start_ms
+        return duration_ms > self._core.settings.election_timeout_max_ms
+
+    async def _hand_over(self) -> None:
+        for peer in self._successors():
+            if await self._transfer_to(peer):
+                return
+        if not await self._core.probe_disk():
+            await self._core.clock.sleep(ms(self._core.settings.disk_retry_ms))
+
     # Commit and confirmation
 
     def _match_index(self, voter: Voter) -> int:
@@ -227,8 +273,14 @@
                 self.peers[instance] = peer
                 group.start_soon(self._replicate, peer)
             self._check_majority()
-            self._change_voters()
-            await core.wait_changed(core.settings.heartbeat_ms)
+            voters = self._next_voters()
+            if voters is not None:
+                self._propose_voters(voters)
+            # Between the two changes of a readmission four voters count, of which
+            # one is lost, so the second change follows without delay.
+            await core.wait_until(
+                lambda: self._next_voters() is not None, core.settings.heartbeat_ms
+            )
 
     def _check_majority(self) -> None:
         """Step down if no majority has answered for an election timeout."""
@@ -250,6 +302,7 @@
             try:
                 progress = await self._exchange(peer)
             except CuminbendError as error:
+                peer.failing = True
                 logger.debug(
                     "event=peer_failed instance=%s peer=%s error=%s",
                     core.settings.instance,
@@ -297,6 +350,8 @@
         return await self._on_append_reply(peer, request, reply, sent_ms)
 
     def _next_entries(self, peer: Peer) -> tuple[Entry, ...]:
+        if peer.failing:
+            return ()
         settings = self._core.settings
         entries = self._storage.entries(peer.next_index, settings.max_batch_entries)
         size_bytes = 0
@@ -331,6 +386,7 @@
         if reply.term < self.term or not self.active:
             return False
         now_ms = self._core.clock.monotonic_ms()
+        peer.failing = False
         peer.note_reply(reply.disk_id, sent_ms=sent_ms, now_ms=now_ms)
         return True
 
@@ -363,15 +419,15 @@
 
     # Membership
 
-    def _change_voters(self) -> None:
-        """Propose the next change of the voters by one, if one is due."""
+    def _next_voters(self) -> tuple[Voter, ...] | None:
+        """Return the voters after the next change, by one, if one is due."""
         if not self.established or self._storage.voters_index > self._core.commit_index:
-            return
+            return None
         if any(proposal.kind == "voters" for proposal in self._pending):
-            return
-        voters = self._superseded_removed() or self._caught_up_added()
-        if voters is None:
-            return
+            return None
+        return self._superseded_removed() or self._caught_up_added()
+
+    def _propose_voters(self, voters: tuple[Voter, ...]) -> None:
         logger.info(
             "event=voters_change instance=%s term=%d voters=%s",
             self._core.settings.instance,
@@ -418,38 +474,43 @@
 
     async def transfer(self) -> bool:
         """Hand over to the voter that is furthest; return whether it took over."""
-        core = self._core
-        voters = self._storage.voters
-        candidates = [
-            peer
-            for peer in self.peers.values()
-            if Voter(peer.instance, peer.disk_id) in voters
-        ]
-        if not candidates:
-            return False
-        target = max(
-            candidates, key=lambda peer: (peer.match_index, peer.acknowledged_ms)
+        successors = self._successors()
+        return bool(successors) and await self._transfer_to(successors[0])
+
+    def _successors(self) -> list[Peer]:
+        """Return the voters that answer, the one that is furthest first."""
+        now_ms = self._core.clock.monotonic_ms()
+        settings, voters = self._core.settings, self._storage.voters
+        return sorted(
+            (
+                peer
+                for peer in self.peers.values()
+                if Voter(peer.instance, peer.disk_id) in voters
+                and now_ms - peer.acknowledged_ms < settings.election_timeout_max_ms
+            ),
+            key=lambda peer: (-peer.match_index, -peer.acknowledged_ms, peer.instance),
         )
+
+    async def _transfer_to(self, peer: Peer) -> bool:
+        """Take no proposals while one voter catches up and stands for election."""
+        core = self._core
+        timeout_ms = core.settings.election_timeout_min_ms
         self._transferring = True
         try:
             await core.wait_until(
-                lambda: (
-                    target.match_index == self._storage.last_index or not self.active
-                ),
-                core.settings.election_timeout_min_ms,
-            )
-            if not self.active or target.match_index < self._storage.last_index:
-                return not self.active
-            await core.transport.call(
-                target.instance,
-                TimeoutNowRequest(self.term),
-                core.settings.rpc_timeout_ms,
+                lambda: peer.match_index == self._storage.last_index or not self.active,
+                timeout_ms,
             )
+            if self.active and peer.match_index == self._storage.last_index:
+                await core.transport.call(
+                    peer.instance,
+                    TimeoutNowRequest(self.term),
+                    core.settings.rpc_timeout_ms,
+                )
+                await core.wait_until(lambda: not self.active, timeout_ms)
         except CuminbendError:
-            return not self.active
-        else:
-            return await core.wait_until(
-                lambda: not self.active, core.settings.election_timeout_min_ms
-            )
+            # The request may have arrived; the role tells.
+            pass
         finally:
             self._transferring = False
+        return not self.active
--- a/packages/cuminbend/src/cuminbend/consensus/_replica.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_replica.py
@@ -31,7 +31,7 @@
 )
 from cuminbend.consensus._settings import ReplicaSettings
 from cuminbend.consensus._storage import LogStorage
-from cuminbend.exceptions import DiskError, NotLeaderError, UnavailableError
+from cuminbend.exceptions import NotLeaderError, UnavailableError
 from cuminbend.ports import Clock, ConsensusTransport, RandomSource, ms
 
 logger = logging.getLogger(__name__)
@@ -209,31 +209,25 @@
         )
         start_ms = self._clock.monotonic_ms()
         while core.is_voter:
-            if core.transfer_term == core.storage.term:
-                core.transfer_term = 0
-                await campaign(core, transfer=True)
-                return
             silent_since_ms = max(start_ms, core.heard_leader_ms)
             remaining_ms = silent_since_ms + timeout_ms - self._clock.monotonic_ms()
-            if remaining_ms <= 0:
+            transfer = core.transfer_term == core.storage.term
+            if transfer or remaining_ms <= 0:
+                core.transfer_term = 0
                 if await self._disk_works():
-                    await campaign(core)
+                    await campaign(core, transfer=transfer)
                 return
-            await core.wait_changed(remaining_ms)
+            await core.wait_until(
+                lambda: not core.is_voter or core.transfer_term == core.storage.term,
+                remaining_ms,
+            )
 
     async def _disk_works(self) -> bool:
-        core = self._core
-        if core.disk_works:
+        """Probe the disk: a leader that cannot write would only cause an outage."""
+        if await self._core.probe_disk():
             return True
-        try:
-            async with core.lock:
-                await core.storage.check_writable()
-        except DiskError as error:
-            core.report_disk_error(error)
-            await self._clock.sleep(ms(self._settings.disk_retry_ms))
-            return False
-        core.disk_works = True
-        return True
+        await self._clock.sleep(ms(self._settings.disk_retry_ms))
+        return False
 
     # Messages
 
@@ -270,7 +264,7 @@
     @_handle.register
     async def _(self, request: TimeoutNowRequest) -> TimeoutNowReply:
         core = self._core
-        if request.term == core.storage.term and core.is_voter and core.disk_works:
+        if request.term == core.storage.term and core.is_voter:
             core.transfer_term = request.term
             core.notify()
         return TimeoutNowReply(core.storage.term)
--- a/packages/cuminbend/src/cuminbend/consensus/_storage.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_storage.py
@@ -97,6 +97,7 @@
         self._voters: list[tuple[int, tuple[Voter, ...]]] = []
         self._repairs: list[Callable[[], Awaitable[None]]] = []
         self._starts_segment = False
+        self._term_saved = True
 
     # Recovery
 
@@ -278,6 +279,17 @@
         await self._replace(VOTE_FILE, _encode_json({"term": term, "voted_for": pair}))
         self.term = term
         self.voted_for = voted_for
+        self._term_saved = True
+
+    def note_term(self, term: int) -> None:
+        """Enter a later term without a vote in memory only.
+
+        For a disk that cannot be written. It is safe because no vote is given in the
+        term; the term is written before the next entry or vote.
+        """
+        self.term = term
+        self.voted_for = None
+        self._term_saved = False
 
     async def append(self, entries: Sequence[Entry]) -> None:
         """Append entries that follow the last one, with one sync.
@@ -287,7 +299,7 @@
         """
         if not entries:
             return
-        await self._repair()
+        await self._prepare()
         records = [encode_entry(entry) for entry in entries]
         segment = self._segments[-1] if self._segments else None
         if (
@@ -330,20 +342,36 @@
     async def save_snapshot(self, snapshot: LogSnapshot) -> None:
         """Persist a snapshot and drop what it makes superfluous.
 
-        If the log holds the entry that the snapshot ends with, the entries since the
-        snapshot before it are kept for peers that are slightly behind. Otherwise the
-        whole log is replaced.
+        Raises:
+            DiskError: If it cannot be written; the former one is still valid.
+        """
+        await self._prepare()
+        await self.write_snapshot(snapshot)
+        await self.compact(snapshot)
+
+    async def write_snapshot(self, snapshot: LogSnapshot) -> None:
+        """Write the file of a snapshot, to be followed by :meth:`compact`.
+
+        Unlike the other writes, this may overlap with those of the log and the vote,
+        so that they do not wait for a large snapshot.
 
         Raises:
             DiskError: If it cannot be written; the former one is still valid.
         """
-        await self._repair()
         content = (
             _encode_json({"index": snapshot.index, "term": snapshot.term})
             + encode_record(encode_voters(snapshot.voters))
             + encode_record(snapshot.data)
         )
         await self._replace(SNAPSHOT_FILE, content)
+
+    async def compact(self, snapshot: LogSnapshot) -> None:
+        """Drop what a written snapshot makes superfluous.
+
+        If the log holds the entry that the snapshot ends with, the entries since the
+        snapshot before it are kept for peers that are slightly behind. Otherwise the
+        whole log is replaced.
+        """
         former_index = self.snapshot.index if self.snapshot else 0
         self.snapshot = snapshot
         continues = self._log_continues(snapshot)
@@ -408,6 +436,12 @@
 
         return cut
 
+    async def _prepare(self) -> None:
+        """Finish what former writes left undone."""
+        await self._repair()
+        if not self._term_saved:
+            await self.save_vote(self.term, self.voted_for)
+
     async def _repair(self) -> None:
         while self._repairs:
             await self._repairs[0]()
--- a/packages/cuminbend/src/cuminbend/consensus/tests/_fakes.py
+++ b/packages/cuminbend/src/cuminbend/consensus/tests/_fakes.py
@@ -8,8 +8,10 @@
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
+import anyio
 import trio
 import trio.testing
+from anyio.abc import TaskGroup
 
 from cuminbend.consensus import (
     AppendRequest,
@@ -28,14 +30,6 @@
 NAMES = ("a", "b", "c")
 
 
-def run_seeded(main: Callable[..., Awaitable[None]], seed: int = 1, *args: Any) -> None:
-    """Run a test with trio's scheduling and all random numbers fixed by ``seed``."""
-    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
-    trio._core._run._r = random.Random(seed)
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    trio.run(main, random.Random(seed), *args, clock=clock)
-
-
 class Killed(Exception):
     """The process of a node ended within a write."""
 
@@ -44,13 +38,15 @@
     """Clock port over trio's mock clock."""
 
     def now(self) -> datetime:
-        return datetime(2026, 1, 1, tzinfo=UTC) + timedelta(seconds=trio.current_time())
+        return datetime(2026, 1, 1, tzinfo=UTC) + timedelta(
+            seconds=anyio.current_time()
+        )
 
     def monotonic_ms(self) -> float:
-        return trio.current_time() * 1000
+        return anyio.current_time() * 1000
 
     async def sleep(self, delay: timedelta) -> None:
-        await trio.sleep(max(0.0, delay.total_seconds()))
+        await anyio.sleep(max(0.0, delay.total_seconds()))
 
 
 class FakeDisk:
@@ -60,6 +56,7 @@
         full: Whether appends and replacements fail; an append leaves part of its data.
         kill_at: Number of the write at which the process ends, or None.
         stuck: Whether truncations and deletions fail too.
+        latency_ms: Longest duration of a write of files that start with ``slow_name``.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -70,6 +67,7 @@
         self.writes = 0
         self.kill_at: int | None = None
         self.latency_ms = 1.0
+        self.slow_name = ""
 
     @property
     def size_bytes(self) -> int:
@@ -95,7 +93,8 @@
         self, name: str, old: bytes, new: bytes | None, torn: bool
     ) -> None:
         disk = self.disk
-        await trio.sleep(disk.rng.uniform(0.2, 1) * disk.latency_ms / 1000)
+        latency_ms = disk.latency_ms if name.startswith(disk.slow_name) else 1.0
+        await anyio.sleep(disk.rng.uniform(0.2, 1) * latency_ms / 1000)
         disk.writes += 1
         if self.dead or disk.writes == disk.kill_at:
             if not self.dead:
@@ -163,7 +162,8 @@
     def __init__(self, cluster: "Cluster", name: str) -> None:
         self.cluster, self.name = cluster, name
         self.disk = FakeDisk(cluster.rng)
-        self.scope: trio.CancelScope | None = None
+        self.disk_numbers = itertools.count(1)
+        self.scope: anyio.CancelScope | None = None
         self.error: BaseException | None = None
 
     @property
@@ -175,10 +175,12 @@
         cluster = self.cluster
         self.handle = DiskHandle(self.disk)
         self.machine = FakeMachine()
+        self.checked = 0
+        self.error = None
         self.storage = LogStorage(
             disk=self.handle,
             instance=self.name,
-            new_disk_id=lambda: f"{self.name}{next(cluster.disk_numbers)}",
+            new_disk_id=lambda: f"{self.name}{next(self.disk_numbers)}",
         )
         self.replica = Replica(
             settings=ReplicaSettings(
@@ -190,11 +192,11 @@
             random=random.Random(cluster.rng.random()),
             state_machine=self.machine,
         )
-        self.scope = trio.CancelScope()
-        cluster.nursery.start_soon(self._run, self.scope, self.replica, self.handle)
+        self.scope = anyio.CancelScope()
+        cluster.group.start_soon(self._run, self.scope, self.replica, self.handle)
 
     async def _run(
-        self, scope: trio.CancelScope, replica: Replica, handle: DiskHandle
+        self, scope: anyio.CancelScope, replica: Replica, handle: DiskHandle
     ) -> None:
         try:
             with scope:
@@ -229,17 +231,17 @@
         if isinstance(request, AppendRequest):
             cluster.leaders[request.term].add(request.leader)
             assert len(cluster.leaders[request.term]) == 1, "two leaders in a term"
-        send, receive = trio.open_memory_channel[Any](10)
+        send, receive = anyio.create_memory_object_stream[Any](10)
         copies = 2 if cluster.rng.random() < cluster.duplicate else 1
         for _ in range(copies):
-            cluster.nursery.start_soon(self._deliver, instance, request, send.clone())
-        with trio.move_on_after(timeout_ms / 1000):
+            cluster.group.start_soon(self._deliver, instance, request, send.clone())
+        with anyio.move_on_after(timeout_ms / 1000):
             return await receive.receive()
         raise PeerUnreachableError(instance, sent=True)
 
     async def _deliver(self, instance: str, request: Any, send: Any) -> None:
         cluster = self.cluster
-        await trio.sleep(cluster.delay_s())
+        await anyio.sleep(cluster.delay_s())
         node = cluster.nodes[instance]
         if cluster.drops(self.source, instance) or not node.up:
             return
@@ -252,23 +254,21 @@
             return
         except CuminbendError:
             return
-        await trio.sleep(cluster.delay_s())
+        await anyio.sleep(cluster.delay_s())
         if not handle.dead and not cluster.drops(instance, self.source):
             try:
                 send.send_nowait(reply)
-            except (trio.BrokenResourceError, trio.WouldBlock):
+            except (anyio.BrokenResourceError, anyio.WouldBlock):
                 pass
 
 
 class Cluster:
     """Three nodes, the network between them, and what must always hold."""
 
-    def __init__(
-        self, nursery: trio.Nursery, rng: random.Random, **settings: Any
-    ) -> None:
-        self.nursery, self.rng, self.settings = nursery, rng, settings
-        self.disk_numbers = itertools.count(1)
+    def __init__(self, group: TaskGroup, rng: random.Random, **settings: Any) -> None:
+        self.group, self.rng, self.settings = group, rng, settings
         self.cuts: set[tuple[str, str]] = set()
+        self.paused = False
         self.loss = self.duplicate = self.slow = 0.0
         self.leaders: dict[int, set[str]] = defaultdict(set)
         self.history: list[str] = []
@@ -284,6 +284,10 @@
     def drops(self, source: str, target: str) -> bool:
         return (source, target) in self.cuts or self.rng.random() < self.loss
 
+    def followers(self) -> list[Node]:
+        leader = self.leader()
+        return [node for node in self.nodes.values() if node is not leader]
+
     def isolate(self, name: str) -> None:
         for other in NAMES:
             self.cuts |= {(name, other), (other, name)}
@@ -294,7 +298,7 @@
 
     def leader(self) -> Node | None:
         """Return the node that leads and has confirmed it lately."""
-        now_ms = trio.current_time() * 1000
+        now_ms = anyio.current_time() * 1000
         for node in self.nodes.values():
             at_ms = node.replica.confirmed_at_ms() if node.up else None
             if at_ms is not None and now_ms - at_ms < 300:
@@ -303,10 +307,10 @@
 
     async def until(self, ready: Callable[[], Any], seconds: float = 20) -> Any:
         """Wait for a condition and return its value."""
-        with trio.move_on_after(seconds):
+        with anyio.move_on_after(seconds):
             while not (value := ready()):
                 self.check()
-                await trio.sleep(0.01)
+                await anyio.sleep(0.01)
             return value
         raise AssertionError(f"not within {seconds} s: {self.describe()}")
 
@@ -317,16 +321,14 @@
         """Propose a new command at the leader; return whether it was accepted."""
         node = self.leader()
         if node is None:
-            await trio.sleep(0.05)
+            await anyio.sleep(0.05)
             return False
-        return await self.propose_at(node, timeout_ms)
-
-    async def propose_at(self, node: Node, timeout_ms: float = 1000) -> bool:
         command = f"command-{next(self._proposals)}"
         handle = node.handle
         try:
             result = await node.replica.propose(command.encode(), timeout_ms)
         except (NotLeaderError, NoQuorumError):
+            await anyio.sleep(0.01)
             return False
         if handle.dead:
             return False
@@ -336,21 +338,37 @@
     async def commit(self, count: int) -> None:
         """Have ``count`` commands accepted."""
         done = 0
-        with trio.fail_after(120):
+        with anyio.fail_after(120):
             while done < count:
                 done += await self.propose()
 
     def check(self) -> None:
-        """Check that all state machines applied the same sequence, and no loss."""
-        for node in self.nodes.values():
-            if not node.up:
-                continue
+        """Check that all state machines apply the same sequence, and no stale leader.
+
+        A leader must not count as confirmed later than another one was elected.
+        """
+        up = [node for node in self.nodes.values() if node.up]
+        for node in up:
             commands = node.machine.commands
-            common = min(len(commands), len(self.history))
-            assert commands[:common] == self.history[:common], "histories differ"
-            self.history.extend(commands[common:])
+            known = commands[: len(self.history)]
+            start = min(node.checked, len(known))
+            assert known[start:] == self.history[start : len(known)], "histories differ"
+            self.history.extend(commands[len(self.history) :])
+            node.checked = len(commands)
+        leading = [n.replica for n in up if n.replica.confirmed_at_ms() is not None]
+        for old, new in itertools.permutations(leading, 2):
+            if old.term < new.term:
+                assert old.confirmed_at_ms() <= new.led_since_ms, "stale confirmation"
+
+    def check_all(self) -> None:
+        """Check the whole history against what was accepted."""
+        self.check()
+        for node in self.nodes.values():
+            if node.up:
+                length = len(node.machine.commands)
+                assert node.machine.commands == self.history[:length]
         for command, position in self.accepted.items():
-            assert self.history[position] == command, "accepted command lost"
+            assert self.history[position : position + 1] == [command], "command lost"
         assert len(set(self.history)) == len(self.history), "command applied twice"
 
     async def settled(self, seconds: float = 60) -> None:
@@ -370,10 +388,7 @@
             )
 
         await self.until(ready, seconds)
-        self.check()
-        assert all(
-            node.machine.commands == self.history for node in self.nodes.values()
-        )
+        self.check_all()
 
     def describe(self) -> str:
         return json.dumps(
@@ -385,19 +400,24 @@
         )
 
 
+async def cluster_main(
+    rng: random.Random,
+    test: Callable[[Cluster], Awaitable[None]],
+    settings: dict[str, Any],
+) -> None:
+    """Run ``test`` on a new cluster and check the cluster in the end."""
+    async with anyio.create_task_group() as group:
+        cluster = Cluster(group, rng, **settings)
+        await test(cluster)
+        cluster.check_all()
+        group.cancel_scope.cancel()
+
+
 def cluster_test(
     test: Callable[[Cluster], Awaitable[None]], seed: int = 1, **settings: Any
-) -> Cluster:
-    """Run ``test`` on a new cluster; return the cluster for a look at the end."""
-    kept: list[Cluster] = []
-
-    async def main(rng: random.Random) -> None:
-        async with trio.open_nursery() as nursery:
-            cluster = Cluster(nursery, rng, **settings)
-            kept.append(cluster)
-            await test(cluster)
-            cluster.check()
-            nursery.cancel_scope.cancel()
-
-    run_seeded(main, seed)
-    return kept[0]
+) -> None:
+    """Run ``test`` with trio's scheduling and all random numbers fixed by ``seed``."""
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r = random.Random(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(cluster_main, random.Random(seed), test, settings, clock=clock)
