--- a/packages/cuminbend/src/cuminbend/sessions/_allocation.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_allocation.py
@@ -23,10 +23,12 @@
 
     def __init__(self, sessions: Iterable[Session], entries: dict[str, Entry]) -> None:
         self.sessions = list(sessions)
-        self._entries = entries
+        self._by_data_centre: dict[str, list[Session]] = {}
         self._owned: Counter[Session] = Counter()
         self._shards: Counter[tuple[Session, object]] = Counter()
         for session in self.sessions:
+            near = self._by_data_centre.setdefault(session.info.data_centre, [])
+            near.append(session)
             for upstream in session.grants:
                 self.add(session, entries[upstream])
 
@@ -38,8 +40,15 @@
 
     def best(self, entry: Entry, said: Announcement) -> Session | None:
         """Return the session that should get an upstream nobody owns."""
+        shards = entry.shards()
+        near = [
+            session
+            for session in self._by_data_centre.get(said.data_centre, ())
+            if not any(self._shards[session, shard] for shard in shards)
+        ]
+        # Any of these ranks before all others.
         return min(
-            self.sessions,
+            near or self.sessions,
             key=lambda session: self.rank(session, entry, said),
             default=None,
         )
--- a/packages/cuminbend/src/cuminbend/sessions/_client.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_client.py
@@ -34,6 +34,7 @@
 from cuminbend.sessions._settings import SessionSettings
 from cuminbend.sessions._view import SessionView
 from cuminbend.sessions._voters import VoterChoice
+from cuminbend.sessions._waiting import MIN_PAUSE_MS
 
 __all__ = ["SessionClient"]
 
@@ -84,12 +85,13 @@
             lease=Lease(clock=clock, lease_ms=settings.lease_ms), clock=clock
         )
         self._term = -1
+        self._term_since_ms = 0.0
         self._registry_version = 0
         # Grant ids grow with each grant, so one that is not above this and not held
-        # was given up here and must not be taken up again.
-        self._highest_grant = 0
+        # was given up or passed over here and must not be taken up any more.
+        self._void_up_to = 0
         self._releasing: dict[str, OwnedUpstream] = {}
-        self._released: dict[int, GateHandover] = {}
+        self._released: dict[str, tuple[int, GateHandover]] = {}
         self._heard: dict[str, _Heard] = {}
         self._queue: dict[str, Announcement] = {}
         self._out_of_directory = False
@@ -216,14 +218,14 @@
         # A released grant is named in `owned` too, because a handover does not carry
         # its grant id and a late copy must not release a newer grant.
         owned = [(grant.upstream, grant.grant_id) for grant in held]
-        owned += [(gate.upstream, grant) for grant, gate in self._released.items()]
+        owned += [(name, grant_id) for name, (grant_id, _) in self._released.items()]
         return PollRequest(
             info=self._info,
             boot_id=self._boot_id,
             configuration_version=self.view.configuration_version,
             registry_version=self._registry_version,
             owned=tuple(owned),
-            released=tuple(self._released.values()),
+            released=tuple(handover for _, handover in self._released.values()),
             announcements=tuple(self._queue.values()),
             wait_ms=wait_ms,
         )
@@ -234,6 +236,7 @@
         self._forget_sent(request)
         if reply.term > self._term:
             self._term = reply.term
+            self._term_since_ms = self._clock.monotonic_ms()
             self._report_everything()
         view = self.view
         view.set("leader", reply.leader)
@@ -256,8 +259,9 @@
     def _forget_sent(self, request: PollRequest) -> None:
         released = {handover.upstream for handover in request.released}
         for upstream, grant_id in request.owned:
-            if upstream in released:
-                self._released.pop(grant_id, None)
+            pending = self._released.get(upstream)
+            if upstream in released and pending and pending[0] == grant_id:
+                del self._released[upstream]
         for announcement in request.announcements:
             if self._queue.get(announcement.upstream) is announcement:
                 del self._queue[announcement.upstream]
@@ -296,11 +300,12 @@
 
     def _take_directory(self, request: PollRequest, reply: PollReply) -> None:
         # A new leader sends none until it has heard from all instances.
-        if reply.instances:
+        now_ms = self._clock.monotonic_ms()
+        if reply.instances or now_ms >= self._term_since_ms + self._settings.lease_ms:
             self._keep_directory(reply.instances)
-        self._out_of_directory = request.info.draining and not any(
-            info.instance == self._info.instance for info in reply.instances
-        )
+            self._out_of_directory = request.info.draining and not any(
+                info.instance == self._info.instance for info in reply.instances
+            )
 
     def _keep_directory(self, instances: tuple[InstanceInfo, ...]) -> None:
         if self.view.configuration is not None:
@@ -330,45 +335,40 @@
             offered = granted.get(upstream)
             if offered is None or offered.grant_id != held.grant_id:
                 self._give_up(upstream)
-        highest = self._highest_grant
-        for grant in reply.owned:
-            held_now = self.view.owned.get(grant.upstream)
-            if held_now is not None and held_now.grant_id == grant.grant_id:
+        for upstream, grant in granted.items():
+            if upstream in self.view.owned or upstream in self._releasing:
                 continue
-            if self._is_releasing(grant):
-                continue
-            if grant.grant_id <= self._highest_grant:
-                self._refuse(grant)
-            elif grant.upstream in self._releasing:
-                # The work of an earlier grant is still in flight.
-                continue
-            elif self._accept(grant):
-                highest = max(highest, grant.grant_id)
-        self._highest_grant = highest
-
-    def _is_releasing(self, grant: OwnedUpstream) -> bool:
-        releasing = self._releasing.get(grant.upstream)
-        return grant.grant_id in self._released or (
-            releasing is not None and releasing.grant_id == grant.grant_id
-        )
-
-    def _accept(self, grant: OwnedUpstream) -> bool:
+            if grant.grant_id <= self._void_up_to:
+                self._refuse(upstream, grant.grant_id)
+            else:
+                self._accept(grant)
+        # Both numbers come from one counter of the leader, so every grant decided
+        # before this reply has an id up to the registry version.
+        self._void_up_to = max(self._void_up_to, reply.registry_version)
+        for upstream in reply.revoked:
+            # Its grant was in a reply that was lost.
+            if upstream not in self.view.owned and upstream not in self._releasing:
+                self._refuse(upstream, self._void_up_to)
+
+    def _accept(self, grant: OwnedUpstream) -> None:
         record = self.view.upstreams.get(grant.upstream)
         if record is None:
-            return False
+            return
         self.view.owned[grant.upstream] = grant
         self.view.since["owned"] = self._clock.now()
         self._listener.granted(grant, record.announcement)
-        return True
 
-    def _refuse(self, grant: OwnedUpstream) -> None:
-        record = self.view.upstreams.get(grant.upstream)
-        self._released[grant.grant_id] = GateHandover(
-            upstream=grant.upstream,
+    def _refuse(self, upstream: str, grant_id: int) -> None:
+        """Release all grants of an upstream up to an id, which were not taken up."""
+        if upstream in self._released:
+            return
+        record = self.view.upstreams.get(upstream)
+        handover = GateHandover(
+            upstream=upstream,
             incarnation=record.announcement.incarnation if record else 0,
             limit=_COLD_LIMIT,
-            lingering_connections=grant.connection_cap,
         )
+        self._released[upstream] = (grant_id, handover)
         self._wake_pending = True
 
     # Giving up upstreams
@@ -387,7 +387,7 @@
     async def _release(self, grant: OwnedUpstream) -> None:
         handover = await self._listener.revoked(grant.upstream)
         del self._releasing[grant.upstream]
-        self._released[grant.grant_id] = handover
+        self._released[grant.upstream] = (grant.grant_id, handover)
         self._notify()
         self._wake()
 
@@ -400,7 +400,7 @@
                 self._give_up_all()
                 self._notify()
             pause_ms = lease.remaining_ms() or self._settings.poll_wait_ms
-            await self._clock.sleep(ms(pause_ms))
+            await self._clock.sleep(ms(max(pause_ms, MIN_PAUSE_MS)))
 
     def _notify(self) -> None:
         self._changed.set()
--- a/packages/cuminbend/src/cuminbend/sessions/_coordinator.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_coordinator.py
@@ -31,8 +31,8 @@
 
 _log = logging.getLogger(__name__)
 
-# Grant ids and registry versions carry the term above this bit, so that those of a
-# later leader are higher without any shared state.
+# Grant ids and registry versions come from one counter, with the term above this bit,
+# so that those of a later leader are higher without any shared state.
 _TERM_SHIFT = 32
 
 
@@ -80,12 +80,14 @@
         self._sessions: dict[tuple[str, str], Session] = {}
         self._entries: dict[str, Entry] = {}
         self._counter = 0
-        self._registry_counter = 0
         self._dirty = True
         self._maintained_at_ms = float("-inf")
-        self._moved_at_ms = float("-inf")
+        self._round_at_ms = float("-inf")
+        self._move_offset = 0
         self._ttl_floor_ms = float("-inf")
         self._records: tuple[UpstreamRecord, ...] | None = None
+        self._listed: tuple[InstanceInfo, ...] = ()
+        self._woken_for: object = None
 
     # Polls
 
@@ -157,9 +159,14 @@
         if session is not None and is_new:
             self._end_session(session)
         if session is None or is_new:
-            session = Session(info=request.info, boot_id=request.boot_id)
+            # A version of its own shows later whether replies reach the instance.
+            self._registry_changed()
+            session = Session(
+                info=request.info,
+                boot_id=request.boot_id,
+                created_version=self._registry_version(),
+            )
             self._sessions[key] = session
-            self._dirty = True
         for other in self._sessions.values():
             if other.info.instance == request.info.instance:
                 superseded = other is not session
@@ -170,11 +177,17 @@
     def _take_in(
         self, session: Session, request: PollRequest, arrival_ms: float
     ) -> None:
-        # Counted from now on: a grant is given when it is decided, and the reply to
-        # this poll cannot give a longer lease than this.
-        settings = self._settings
-        end_ms = arrival_ms + settings.lease_ms + settings.drift_margin_ms
-        session.expires_at_ms = max(session.expires_at_ms, end_ms)
+        if session.sent_version in (None, request.registry_version):
+            session.deaf_since_ms = None
+        elif session.deaf_since_ms is None:
+            session.deaf_since_ms = arrival_ms
+        if not session.confirmed:
+            session.confirmed = request.registry_version >= session.created_version
+            self._dirty |= session.confirmed
+        if not self._is_deaf(session):
+            # Counted from now on: a grant is given when it is decided, and the reply
+            # to this poll cannot give a longer lease than this.
+            session.expires_at_ms = self._lease_end_ms(arrival_ms)
         if session.info != request.info:
             session.info = request.info
             self._dirty = True
@@ -184,8 +197,10 @@
             self._notify()
         for announcement in request.announcements:
             self._take_announcement(announcement, arrival_ms)
+        released = {handover.upstream for handover in request.released}
         for upstream, grant_id in request.owned:
-            self._take_report(session, upstream, grant_id)
+            if upstream not in released:
+                self._take_report(session, upstream, grant_id)
         self._take_releases(session, request, arrival_ms)
 
     def _take_announcement(self, said: Announcement, now_ms: float) -> None:
@@ -226,6 +241,11 @@
     def _take_releases(
         self, session: Session, request: PollRequest, now_ms: float
     ) -> None:
+        """End the grants that an instance gives back.
+
+        `owned` names the highest grant id that each release covers, so that a late
+        copy of it does not end a newer grant.
+        """
         reported = dict(request.owned)
         for handover in request.released:
             entry = self._entries.get(handover.upstream)
@@ -234,7 +254,7 @@
                 entry is None
                 or grant is None
                 or grant.session is not session
-                or grant.grant_id != reported.get(handover.upstream)
+                or grant.grant_id > reported.get(handover.upstream, 0)
             ):
                 continue
             entry.handover = handover
@@ -252,15 +272,21 @@
         due_ms = self._maintained_at_ms + self._settings.maintenance_interval_ms
         if not self._dirty and now_ms < due_ms:
             return
-        self._dirty = False
         self._maintained_at_ms = now_ms
         for session in list(self._sessions.values()):
             if session.expires_at_ms <= now_ms:
                 self._end_session(session)
         for entry in list(self._entries.values()):
             self._expire(entry, now_ms)
-        self._allocate(now_ms)
-        self._wake_all()
+        round_due = now_ms >= self._round_at_ms
+        if self._dirty or round_due:
+            self._dirty = False
+            self._allocate(now_ms, may_move=round_due)
+        self._listed = self._directory(now_ms)
+        state = (self._counter, self._listed, now_ms >= self._takeover_ends_ms())
+        if state != self._woken_for:
+            self._woken_for = state
+            self._wake_all()
 
     def _linger_end_ms(self) -> float:
         return self._clock.monotonic_ms() + self._settings.connection_linger_ms
@@ -301,7 +327,7 @@
 
     # Ownership
 
-    def _allocate(self, now_ms: float) -> None:
+    def _allocate(self, now_ms: float, *, may_move: bool) -> None:
         configuration = self._configuration.configuration
         in_service = (
             configuration.data_centres_in_service if configuration else frozenset()
@@ -311,26 +337,53 @@
         )
         for entry in self._entries.values():
             self._revoke_unfit(entry, in_service, now_ms)
-        if now_ms < self._takeover_ends_ms():
+        # Instances that kept the registry of the last leader get that of this one when
+        # the wait ends, and have to be candidates for the first grants too.
+        start_ms = self._takeover_ends_ms() + self._settings.first_grant_delay_ms
+        if now_ms < start_ms:
+            self._round_at_ms = start_ms
             return
-        for entry in self._entries.values():
-            said = entry.live
-            if said is None or entry.grant or said.data_centre not in in_service:
-                continue
-            if self._connections_left(entry, said, now_ms):
-                session = placement.best(entry, said)
-                if session is not None:
-                    self._grant(entry, said, session)
-                    placement.add(session, entry)
-        if now_ms >= self._moved_at_ms + self._settings.move_interval_ms:
-            self._move(placement, now_ms)
+        vacant = [
+            (entry, said)
+            for entry in self._entries.values()
+            if entry.grant is None
+            and (said := entry.live) is not None
+            and said.data_centre in in_service
+            and self._connections_left(entry, said, now_ms)
+        ]
+        # The rest follows with the next poll, because granting makes the state dirty.
+        for entry, said in vacant[: self._settings.max_grants_per_pass]:
+            session = placement.best(entry, said)
+            if session is not None:
+                self._grant(entry, said, session)
+                placement.add(session, entry)
+        if may_move:
+            self._round_at_ms = now_ms + self._settings.move_interval_ms
+            self._move(placement)
 
     def _is_eligible(self, session: Session) -> bool:
         return (
             self._is_listed(session)
+            and session.confirmed
             and session.acknowledged == self._configuration.version
+            and not self._is_deaf(session)
         )
 
+    def _is_deaf(self, session: Session) -> bool:
+        """Return whether polls of an instance arrive but no reply reaches it.
+
+        It gets no lease, because its session would never end and its upstreams would
+        stay without work.
+        """
+        if session.deaf_since_ms is None:
+            return False
+        deaf_ms = self._clock.monotonic_ms() - session.deaf_since_ms
+        return deaf_ms >= self._settings.max_deaf_ms
+
+    def _lease_end_ms(self, arrival_ms: float) -> float:
+        settings = self._settings
+        return arrival_ms + settings.lease_ms + settings.drift_margin_ms
+
     def _is_listed(self, session: Session) -> bool:
         configuration = self._configuration.configuration
         return (
@@ -368,19 +421,21 @@
         unknown_until_ms = (
             self._takeover_ends_ms() + self._settings.connection_linger_ms
         )
-        if entry.highest_grant == 0 and now_ms < unknown_until_ms:
-            # An owner that the former leader lost is not known here.
-            taken += cap
+        if now_ms < unknown_until_ms:
+            # Owners that the former leader lost are not known here; one is assumed.
+            # An owner that is known had its cap within the limit beside them.
+            known = cap if entry.highest_grant else 0
+            taken += min(cap, said.connection_limit - known)
         return taken + cap <= said.connection_limit
 
     def _grant(self, entry: Entry, said: Announcement, session: Session) -> None:
-        self._counter += 1
+        self._registry_changed()
         handover = entry.handover
         if handover is not None and handover.incarnation != said.incarnation:
             handover = None
         grant = Grant(
             upstream=entry.upstream,
-            grant_id=(self._term << _TERM_SHIFT) + self._counter,
+            grant_id=self._registry_version(),
             session=session,
             connection_cap=self._cap(entry),
             handover=handover,
@@ -388,23 +443,26 @@
         entry.grant = session.grants[entry.upstream] = grant
         entry.highest_grant = grant.grant_id
         entry.handover = None
-        self._registry_changed()
 
-    def _move(self, placement: Placement, now_ms: float) -> None:
+    def _move(self, placement: Placement) -> None:
         """Take a few upstreams from owners where another instance suits better."""
         moving = sum(
             1 for entry in self._entries.values() if entry.grant and entry.grant.moving
         )
-        for entry in self._entries.values():
+        entries = list(self._entries.values())
+        count = min(len(entries), self._settings.max_move_checks)
+        for _ in range(count):
             if moving >= self._settings.max_moves_per_round:
                 break
+            self._move_offset = (self._move_offset + 1) % len(entries)
+            entry = entries[self._move_offset]
             grant, said = entry.grant, entry.live
             if grant is None or said is None or grant.revoking:
                 continue
             if placement.better(entry, said, grant.session):
                 grant.revoking = grant.moving = True
                 moving += 1
-                self._moved_at_ms = now_ms
+                grant.session.wake()
                 placement.add(grant.session, entry, -1)
 
     # Replies
@@ -425,7 +483,7 @@
 
     def _signature(self, session: Session) -> object:
         return (
-            self._directory(),
+            self._listed,
             frozenset(
                 item.upstream for item in session.grants.values() if item.revoking
             ),
@@ -433,9 +491,9 @@
             tuple(self._configuration.suspects.items()),
         )
 
-    def _directory(self) -> tuple[InstanceInfo, ...]:
-        settled_ms = self._leadership.led_since_ms + self._settings.settle_ms
-        if self._clock.monotonic_ms() < settled_ms:
+    def _directory(self, now_ms: float) -> tuple[InstanceInfo, ...]:
+        """Return the directory; none while instances may not have polled yet."""
+        if now_ms < self._leadership.led_since_ms + self._settings.settle_ms:
             return ()
         listed = filter(self._is_listed, self._sessions.values())
         return tuple(
@@ -443,7 +501,7 @@
         )
 
     def _registry_version(self) -> int:
-        return (self._term << _TERM_SHIFT) + self._registry_counter
+        return (self._term << _TERM_SHIFT) + self._counter
 
     def _sends_registry(self, request: PollRequest) -> bool:
         version = request.registry_version
@@ -469,7 +527,7 @@
         return self._records
 
     def _registry_changed(self) -> None:
-        self._registry_counter += 1
+        self._counter += 1
         self._records = None
         self._dirty = True
 
@@ -478,24 +536,32 @@
     ) -> PollReply:
         configuration = self._configuration
         version = configuration.version
-        settings = self._settings
-        session.leases[version] = (
-            arrival_ms + settings.lease_ms + settings.drift_margin_ms
-        )
+        age_ms = self._confirmed_age_ms()
+        if self._is_deaf(session):
+            # An age of a whole lease extends no lease.
+            age_ms = max(age_ms, self._settings.lease_ms)
+        else:
+            session.leases = {
+                named: end for named, end in session.leases.items() if end > arrival_ms
+            }
+            end_ms = self._lease_end_ms(arrival_ms)
+            session.leases[version] = max(session.leases.get(version, 0.0), end_ms)
         if session.poll_number == number:
             session.told = self._signature(session)
+            if self._sends_registry(request):
+                session.sent_version = self._registry_version()
         grants = session.grants.values()
         return PollReply(
             leader=self._leadership.leader or "",
             term=self._term,
-            confirmed_age_ms=self._confirmed_age_ms(),
+            confirmed_age_ms=age_ms,
             configuration_version=version,
             configuration_text=(
                 configuration.text if request.configuration_version < version else None
             ),
             registry_version=self._registry_version(),
             upstreams=self._registry() if self._sends_registry(request) else None,
-            instances=self._directory(),
+            instances=self._listed,
             owned=tuple(
                 OwnedUpstream(
                     item.upstream,
@@ -537,8 +603,9 @@
             if session.acknowledged >= version:
                 acknowledged.add(name)
                 continue
+            # Leases that a former leader gave end before the takeover wait does.
             older = [end for named, end in session.leases.items() if named < version]
-            session_end_ms = max(older, default=session.expires_at_ms)
+            session_end_ms = max(older, default=0.0)
             if session_end_ms > now_ms:
                 pending.add(name)
                 end_ms = max(end_ms, session_end_ms)
--- a/packages/cuminbend/src/cuminbend/sessions/_settings.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_settings.py
@@ -42,6 +42,10 @@
         max_confirmed_age_ms: Time since the last confirmed heartbeat round after which
             polls are refused. Well below ``lease_ms``, because the age shortens leases.
         max_poll_wait_ms: Longest time for which a poll is held.
+        max_deaf_ms: Time for which polls of an instance may show that it did not get
+            the registry sent to it; after that it gets no lease.
+        first_grant_delay_ms: Time between the end of the takeover wait and the first
+            grants; covers one round of polls.
         settle_ms: Time after an election during which the directory counts as
             incomplete. Covers one silent voter and the back-off of each instance.
         connection_linger_ms: Time for which connections of an owner that disappeared
@@ -50,6 +54,9 @@
         max_moves_per_round: Upstreams that are taken from live owners at a time to
             even out ownership.
         move_interval_ms: Time between two rounds of moves.
+        max_move_checks: Upstreams looked at in one round of moves.
+        max_grants_per_pass: Upstreams granted at a time; bounds the time for which
+            allocation holds up polls.
         maintenance_interval_ms: Longest time between checks for expired leases and
             announcements while polls arrive.
         load_step: Change of the reported load that is worth a new registry version.
@@ -59,11 +66,15 @@
     drift_margin_ms: float = 50
     max_confirmed_age_ms: float = 1000
     max_poll_wait_ms: float = 1000
+    max_deaf_ms: float = 1000
+    first_grant_delay_ms: float = 100
     settle_ms: float = 1000
     connection_linger_ms: float = 60_000
     connection_fraction: float = 0.25
     max_moves_per_round: int = 2
     move_interval_ms: float = 1000
+    max_move_checks: int = 64
+    max_grants_per_pass: int = 200
     maintenance_interval_ms: float = 50
     load_step: float = 0.25
 
--- a/packages/cuminbend/src/cuminbend/sessions/_tables.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_tables.py
@@ -47,15 +47,21 @@
     """One process of one instance.
 
     Attributes:
+        created_version: Registry version that no earlier process can have got.
+        confirmed: Whether its polls show that it got that version or a later one.
         expires_at_ms: Latest end of any lease that a reply can have given it.
         leases: Latest end of the leases given with replies, by the configuration
             version that they named.
         superseded: Whether another process of the same instance polled since.
         poll_number: Number of the latest poll; older ones return early.
+        sent_version: Registry version last sent to it.
+        deaf_since_ms: Since when its polls show that it did not get that version.
     """
 
     info: InstanceInfo
     boot_id: str
+    created_version: int
+    confirmed: bool = False
     expires_at_ms: float = 0.0
     acknowledged: int = 0
     leases: dict[int, float] = field(default_factory=dict)
@@ -63,6 +69,8 @@
     grants: dict[str, Grant] = field(default_factory=dict)
     poll_number: int = 0
     told: object = None
+    sent_version: int | None = None
+    deaf_since_ms: float | None = None
     event: anyio.Event = field(default_factory=anyio.Event)
 
     def wake(self) -> None:
--- a/packages/cuminbend/src/cuminbend/sessions/_waiting.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_waiting.py
@@ -4,7 +4,11 @@
 
 from cuminbend.ports import Clock, ms
 
-__all__ = ["wait_event"]
+__all__ = ["MIN_PAUSE_MS", "wait_event"]
+
+# A timedelta has microseconds, so a shorter rest would become a sleep of zero and the
+# loop around it would spin until the clock moves on.
+MIN_PAUSE_MS = 1.0
 
 
 async def wait_event(event: anyio.Event, *, clock: Clock, timeout_ms: float) -> bool:
@@ -13,7 +17,7 @@
         async with anyio.create_task_group() as tasks:
 
             async def expire() -> None:
-                await clock.sleep(ms(timeout_ms))
+                await clock.sleep(ms(max(timeout_ms, MIN_PAUSE_MS)))
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(expire)
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/sessions/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of leases, registry and ownership."""
