--- a/packages/cuminbend/src/cuminbend/upstreams/_flight.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_flight.py
@@ -28,6 +28,8 @@
     It implements :class:`cuminbend.ports.ExchangeObserver`.
 
     Attributes:
+        epoch: Slow start in which it was admitted.
+        incarnation: Of the upstream as known when the exchange began.
         active: Whether the exchange is still awaited at this end.
         began: Whether the transport was called, so that bytes may have been sent.
         gone: Whether the upstream is known not to hold the connection.
@@ -44,7 +46,6 @@
         unproven: bool,
         alone: bool,
         epoch: int,
-        incarnation: int,
         changed: Callable[["Flight"], None],
     ) -> None:
         self.request = request
@@ -52,7 +53,7 @@
         self.unproven = unproven
         self.alone = alone
         self.epoch = epoch
-        self.incarnation = incarnation
+        self.incarnation = 0
         self.active = True
         self.began = False
         self.gone = False
--- a/packages/cuminbend/src/cuminbend/upstreams/_slow_start.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_slow_start.py
@@ -10,6 +10,7 @@
 # Weight of a warm window in the baseline; small, so that creeping overload does not
 # become the baseline before it is noticed.
 BASELINE_GAIN = 0.1
+MAX_DOUBLINGS = 16
 # The hold is drawn from 0.5 to 1.5 times its nominal value, so that gates reset at the
 # same time do not raise their limits together.
 HOLD_JITTER = (0.5, 1.5)
@@ -25,18 +26,18 @@
         clock: Clock,
         random: RandomSource,
         slots: int,
-        limit: int = COLD_LIMIT,
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._random = random
         self._slots = slots
-        self._limit = max(COLD_LIMIT, min(limit, slots))
+        self._limit = COLD_LIMIT
         self._load_cap = slots
         self._successes = 0
         self._resets = 0
         self._hold_until_ms = float("-inf")
         self._baseline_ms: float | None = None
+        self._windows = 0
         self._window: list[float] = []
         self._recent: deque[float] = deque(maxlen=settings.recent_replies)
         self.epoch = 0
@@ -54,8 +55,8 @@
 
     @property
     def is_warm(self) -> bool:
-        """Whether the limit has reached the slots."""
-        return self._limit >= self._slots
+        """Whether a window of successes ended with the limit at the slots."""
+        return self._limit >= self._slots and self._windows > 0
 
     def resize(self, slots: int) -> None:
         """Adopt a new number of slots."""
@@ -75,23 +76,31 @@
         else:
             self._load_cap = max(COLD_LIMIT, self._slots - round(foreign))
 
-    def reset(self, reason: str) -> None:
-        """Go back to cold and stay there for a backoff."""
+    def reset(self, reason: str, epoch: int | None = None) -> None:
+        """Go back to cold and stay there for a backoff.
+
+        Failures of requests admitted before the last reset, as given by ``epoch``,
+        have the same cause as that one and do not lengthen the backoff.
+        """
         hold_ms = min(
             self._settings.hold_ms * 2**self._resets, self._settings.max_hold_ms
         )
         now_ms = self._clock.monotonic_ms()
         self._hold_until_ms = now_ms + hold_ms * self._random.uniform(*HOLD_JITTER)
-        self._resets = min(self._resets + 1, 16)
+        if epoch is None or epoch == self.epoch:
+            self._resets = min(self._resets + 1, MAX_DOUBLINGS)
         self._limit = COLD_LIMIT
         self._successes = 0
         self._window.clear()
         self._recent.clear()
+        self._windows = 0
         self.epoch += 1
         self.last_reset = reason
 
-    def slow(self, service_time_ms: float) -> None:
+    def slow(self, service_time_ms: float, epoch: int) -> None:
         """Count an exchange that took too long, or was given up after that time."""
+        if epoch != self.epoch:
+            return
         self._recent.append(service_time_ms)
         self._successes = 0
         self._window.clear()
@@ -103,7 +112,7 @@
             # Work admitted before the reset says nothing about the cold upstream.
             return
         if self._is_slow(service_time_ms):
-            self.slow(service_time_ms)
+            self.slow(service_time_ms, epoch)
             return
         self._recent.append(service_time_ms)
         if self._clock.monotonic_ms() < self._hold_until_ms:
@@ -115,13 +124,15 @@
 
     def _finish_window(self) -> None:
         observed_ms = median(self._window)
-        if self._baseline_ms is None or observed_ms < self._baseline_ms:
+        if self._baseline_ms is None:
             self._baseline_ms = observed_ms
         elif self.is_warm:
             self._baseline_ms += BASELINE_GAIN * (observed_ms - self._baseline_ms)
-        if self.is_warm:
             self._resets = 0
+        else:
+            self._baseline_ms = min(self._baseline_ms, observed_ms)
         self._limit = min(self._limit + 1, self._slots)
+        self._windows += 1
         self._successes = 0
         self._window.clear()
 
--- a/packages/cuminbend/src/cuminbend/upstreams/_suspects.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_suspects.py
@@ -65,11 +65,11 @@
 
     Attributes:
         answered: Whether the upstream answered it.
-        refused: Whether its fingerprint may not be sent anywhere.
+        refusal: Why its fingerprint may not be sent anywhere, or None.
         done: Set when it ended in any way.
     """
 
     def __init__(self) -> None:
         self.answered = False
-        self.refused = False
+        self.refusal: str | None = None
         self.done = anyio.Event()
--- a/packages/cuminbend/src/cuminbend/upstreams/tests/fakes.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/tests/fakes.py
@@ -1,12 +1,13 @@
 """Scripted stand-ins for the ports of a gate."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from datetime import UTC, datetime, timedelta
 from random import Random
 from typing import Any
 
-import trio
+import anyio
 
 from cuminbend.exceptions import (
     NoQuorumError,
@@ -31,17 +32,17 @@
 SNAPSHOT = Snapshot("v1", "p1")
 
 
-class TrioClock:
-    """The virtual clock of the test."""
+class LoopClock:
+    """The clock of the event loop, virtual under trio's MockClock."""
 
     def now(self) -> datetime:
-        return datetime.fromtimestamp(trio.current_time(), UTC)
+        return datetime.fromtimestamp(anyio.current_time(), UTC)
 
     def monotonic_ms(self) -> float:
-        return trio.current_time() * 1000
+        return anyio.current_time() * 1000
 
     async def sleep(self, delay: timedelta) -> None:
-        await trio.sleep(delay.total_seconds())
+        await anyio.sleep(delay.total_seconds())
 
 
 @dataclass
@@ -76,7 +77,7 @@
     delay_ms: float = 1.0
 
     async def propose(self, command: Any, timeout_ms: float) -> CrashResult:
-        await trio.sleep(self.delay_ms / 1000)
+        await anyio.sleep(self.delay_ms / 1000)
         if self.result is None:
             raise NoQuorumError("no majority")
         self.log.append(command)
@@ -87,8 +88,8 @@
     """An upstream and its transport, driven by a script of behaviours.
 
     A behaviour is a word: ``ok``, ``stall``, ``reset``, ``shed``, ``connect``,
-    ``draining``, ``crossed``, ``snapshot``, ``malformed``, ``failed``, ``oserror`` or
-    a number of milliseconds. ``script`` maps a request id to one, else ``default``.
+    ``draining``, ``crash``, ``crossed``, ``snapshot``, ``malformed``,
+    ``failed``, ``oserror`` or a number of milliseconds (float). ``script`` maps a request id to one, else ``default``.
     """
 
     def __init__(self, *, default: Any = "ok", service_ms: float = 10.0) -> None:
@@ -110,16 +111,29 @@
         self.peak_held = 0
         self.silent: list[float] = []
         self.closed = False
+        self.broken = anyio.Event()
+        self.answered = 0
+        self.crashed_at = -1.0
+
+    def crash(self) -> None:
+        """Break all connections and come back as a new incarnation."""
+        self.incarnation += 1
+        self.running.clear()
+        self.broken.set()
+        self.broken = anyio.Event()
+        self.idle = 0
+        self.answered = 0
+        self.crashed_at = anyio.current_time()
 
     def load(self) -> int:
         """Requests that the upstream runs, abandoned ones until their deadline."""
-        now = trio.current_time()
+        now = anyio.current_time()
         self.running = {k: end for k, end in self.running.items() if end > now}
         return len(self.running)
 
     def held(self) -> int:
         """Connections that the upstream holds, silent ones for the linger time."""
-        self.silent = [end for end in self.silent if end > trio.current_time()]
+        self.silent = [end for end in self.silent if end > anyio.current_time()]
         return self.idle + self.in_use + len(self.silent)
 
     def open_connections(self, upstream: str) -> int:
@@ -140,7 +154,7 @@
         self.in_use += 1
         self.peak_held = max(self.peak_held, self.held())
         self.running[request.request_id] = (
-            trio.current_time() + request.budget_ms / 1000
+            anyio.current_time() + request.budget_ms / 1000
         )
         self.peak = max(self.peak, self.load())
         self.seen.append(request.request_id)
@@ -154,13 +168,13 @@
             reply = await self._behave(request)
             reusable = True
             return reply
-        except trio.Cancelled:
+        except anyio.get_cancelled_exc_class():
             if self.confirms_cancel:
                 self.running.pop(request.request_id, None)
                 observer.connection_gone()
                 observer.work_ended()
             else:
-                self.silent.append(trio.current_time() + 60)
+                self.silent.append(anyio.current_time() + 60)
             raise
         except UpstreamError:
             self.running.pop(request.request_id, None)
@@ -178,10 +192,17 @@
             b"hits",
             request.snapshot,
         )
-        if word == "stall":
-            await trio.sleep_forever()
-        await trio.sleep((word if isinstance(word, float) else self.service_ms) / 1000)
+        seconds = (word if isinstance(word, float) else self.service_ms) / 1000
+        broken = self.broken
+        with anyio.move_on_after(math.inf if word == "stall" else seconds):
+            await broken.wait()
+        if broken.is_set():
+            raise failure("reset")
+        if word == "crash":
+            self.crash()
+            raise failure("reset")
         self.running.pop(request.request_id, None)
+        self.answered += 1
         if word == "oserror":
             raise OSError("broken")
         if word == "crossed":
@@ -216,7 +237,7 @@
         slots: int = 4,
         **settings: Any,
     ) -> None:
-        self.clock = TrioClock()
+        self.clock = LoopClock()
         self.lease = FakeLease()
         self.control = FakeControl()
         self.shares = FakeShares()
