--- a/packages/cuminbend/src/cuminbend/upstreams/_admission.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_admission.py
@@ -69,7 +69,7 @@
         self._watch: _Watch | None = None
         self._suspect: Ticket | None = None
         self._suspect_until_ms = NEVER_MS
-        self._idle = anyio.Event()
+        self._changed = anyio.Event()
 
     async def admit(self, ticket: Ticket) -> Flight:
         """Wait until a request may start.
@@ -159,8 +159,8 @@
 
     def pump(self) -> None:
         """Start as much as the limits allow, then arrange to look again in time."""
-        if not self.count_flights():
-            self._idle.set()
+        self.count_flights()
+        self._changed.set()
         if self.lingering.count() >= self.connection_cap:
             self.refuse_waiting(self.no_connection)
         self._drop_late_suspect()
@@ -249,11 +249,11 @@
     async def drained(self) -> None:
         """Return when the upstream cannot be running anything any more."""
         while self.count_flights():
-            if self._idle.is_set():
-                self._idle = anyio.Event()
+            if self._changed.is_set():
+                self._changed = anyio.Event()
             wait_ms = self.flights.next_expiry_ms() - self._clock.monotonic_ms()
             with anyio.move_on_after(seconds(wait_ms + TIMER_SLACK_MS)):
-                await self._idle.wait()
+                await self._changed.wait()
 
     def count_flights(self) -> int:
         """Return the requests that the upstream may be running."""
--- a/packages/cuminbend/src/cuminbend/upstreams/_queue.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_queue.py
@@ -14,6 +14,9 @@
 
 # A member with share 0 still gets a turn when nothing else is waiting.
 MIN_SHARE = 0.001
+# Cost of one request. Slightly below 1, so that fractions of shares that add up to 1
+# pay for one in spite of rounding.
+COST = 1.0 - 1e-9
 
 
 @dataclass(eq=False)
@@ -110,15 +113,17 @@
         largest = max(self._share(name) for name in self._members)
         while True:
             name, queue = next(iter(self._members.items()))
-            if queue.deficit >= 1.0:
-                queue.deficit -= 1.0
+            if queue.deficit >= COST:
+                queue.deficit -= COST
                 ticket = queue.tickets.pop(0)
                 if not queue.tickets:
                     del self._members[name]
+                elif queue.deficit < COST:
+                    self._members.move_to_end(name)
                 return ticket
             # The largest share earns one request per round, so a round serves one.
             queue.deficit += self._share(name) / largest
-            if queue.deficit < 1.0:
+            if queue.deficit < COST:
                 self._members.move_to_end(name)
 
     def _share(self, member: str) -> float:
--- a/packages/cuminbend/src/cuminbend/upstreams/tests/fakes.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/tests/fakes.py
@@ -1,13 +1,15 @@
 """Scripted stand-ins for the ports of a gate."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from datetime import UTC, datetime, timedelta
 from random import Random
 from typing import Any
 
 import anyio
+import trio
+import trio.testing
 
 from cuminbend.exceptions import (
     NoQuorumError,
@@ -87,9 +89,10 @@
 class FakeUpstream:
     """An upstream and its transport, driven by a script of behaviours.
 
-    A behaviour is a word: ``ok``, ``stall``, ``reset``, ``shed``, ``connect``,
-    ``draining``, ``crash``, ``crossed``, ``snapshot``, ``malformed``,
-    ``failed``, ``oserror`` or a number of milliseconds (float). ``script`` maps a request id to one, else ``default``.
+    A behaviour is a number of milliseconds (float) or a word: ``ok``, ``stall``,
+    ``crash``, ``crossed``, ``stranger``, ``restarted``, ``snapshot``, ``partial``,
+    ``oserror``, or the kind of an upstream error. ``script`` maps a request id to one,
+    else ``default``.
     """
 
     def __init__(self, *, default: Any = "ok", service_ms: float = 10.0) -> None:
@@ -103,13 +106,15 @@
         self.running: dict[str, float] = {}
         self.peak = 0
         self.seen: list[str] = []
-        self.seen_kinds: list[WorkKind] = []
-        self.timeouts: list[float] = []
+        self.loads_of: dict[str, int] = {}
+        self.started_ms: dict[str, float] = {}
+        self.budgets: list[float] = []
         self.held_open = 0
         self.idle = 0
         self.in_use = 0
         self.peak_held = 0
         self.silent: list[float] = []
+        self.linger_s = 60.0
         self.closed = False
         self.broken = anyio.Event()
         self.answered = 0
@@ -158,8 +163,9 @@
         )
         self.peak = max(self.peak, self.load())
         self.seen.append(request.request_id)
-        self.seen_kinds.append(request.kind)
-        self.timeouts.append(timeout_ms)
+        self.loads_of[request.request_id] = self.load()
+        self.started_ms[request.request_id] = anyio.current_time() * 1000
+        self.budgets.append(request.budget_ms)
         reusable = False
         try:
             if self.load() > self.capacity():
@@ -174,7 +180,7 @@
                 observer.connection_gone()
                 observer.work_ended()
             else:
-                self.silent.append(anyio.current_time() + 60)
+                self.silent.append(anyio.current_time() + self.linger_s)
             raise
         except UpstreamError:
             self.running.pop(request.request_id, None)
@@ -193,6 +199,9 @@
             request.snapshot,
         )
         seconds = (word if isinstance(word, float) else self.service_ms) / 1000
+        if word == "crash":
+            # Before others that began at the same time are answered.
+            seconds /= 2
         broken = self.broken
         with anyio.move_on_after(math.inf if word == "stall" else seconds):
             await broken.wait()
@@ -201,14 +210,21 @@
         if word == "crash":
             self.crash()
             raise failure("reset")
+        word = self.script.get(request.request_id, self.default)
         self.running.pop(request.request_id, None)
         self.answered += 1
         if word == "oserror":
             raise OSError("broken")
         if word == "crossed":
             return replace(reply, request_id="another")
-        if word == "snapshot":
-            return replace(reply, snapshot=Snapshot("v2", "p1"))
+        if word in ("snapshot", "partial"):
+            other = Snapshot("v2", "p1")
+            return replace(reply, snapshot=other, complete=word == "snapshot")
+        if word == "stranger":
+            return replace(reply, upstream="u2")
+        if word == "restarted":
+            self.incarnation += 1
+            return replace(reply, incarnation=self.incarnation)
         if word != "ok" and isinstance(word, str):
             raise failure(word)
         return reply
@@ -225,6 +241,14 @@
 ANNOUNCEMENT = Announcement("u1", 1, "dc1", "127.0.0.1:1", "s", (), 4, 100)
 
 
+def run(test: Callable[[], Awaitable[Any]]) -> None:
+    """Run a test on a virtual clock, with the same scheduling each time."""
+    trio_run: Any = trio._core._run
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio_run._r.seed(1)
+    trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 class Bench:
     """A gate with its stand-ins and the outcomes of the requests sent to it."""
 
@@ -242,10 +266,12 @@
         self.control = FakeControl()
         self.shares = FakeShares()
         self.upstream = FakeUpstream()
+        self.upstream.linger_s = GateSettings(**settings).connection_linger_ms / 1000
         self.in_service = True
         self.announcement = replace(ANNOUNCEMENT, slots=slots)
         self.outcomes: dict[str, ShardReply | RequestFailedError] = {}
         self.ended_ms: dict[str, float] = {}
+        self.commits_before: dict[str, int] = {}
         self.gate = UpstreamGate(
             settings=GateSettings(**settings),
             announcement=self.announcement,
@@ -259,6 +285,25 @@
             data_centre_in_service=lambda _: self.in_service,
         )
 
+    def failure(self, request_id: str) -> tuple[str, RunState]:
+        """Return class and run state of a failure, or of a reply as ("ok", RAN)."""
+        outcome = self.outcomes[request_id]
+        if isinstance(outcome, ShardReply):
+            return "ok", RunState.RAN
+        return type(outcome).__name__, outcome.run_state
+
+    @property
+    def limit(self) -> int:
+        """Current limit of the gate."""
+        limit: int = self.gate.dump()["limit"]
+        return limit
+
+    async def warm_up(self, requests: int = 20) -> None:
+        """Let the upstream answer some requests one after the other."""
+        for i in range(requests):
+            await self.send(f"warm{i}")
+        self.upstream.seen.clear()
+
     async def send(
         self,
         request_id: str,
@@ -287,4 +332,5 @@
             outcome = error
         self.outcomes[request_id] = outcome
         self.ended_ms[request_id] = self.clock.monotonic_ms()
+        self.commits_before[request_id] = len(self.control.log)
         return outcome
