--- a/packages/cuminbend/src/cuminbend/upstreams/_admission.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_admission.py
@@ -79,8 +79,8 @@
         """
         self._check_queue(ticket)
         try:
+            self._queue.push(ticket)
             while True:
-                self._queue.push(ticket)
                 self.pump()
                 while not ticket.decided:
                     await self._wait(ticket)
@@ -108,6 +108,7 @@
         self.flights.discard(ticket.flight)
         ticket.flight = None
         ticket.wake = anyio.Event()
+        self._queue.put_back(ticket)
 
     def _check_queue(self, ticket: Ticket) -> None:
         member = ticket.request.member
--- a/packages/cuminbend/src/cuminbend/upstreams/_connections.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_connections.py
@@ -28,4 +28,5 @@
 
     def next_expiry_ms(self) -> float:
         """Return when the next one stops counting, or infinity."""
+        self.count()
         return min(self._until_ms.values(), default=float("inf"))
--- a/packages/cuminbend/src/cuminbend/upstreams/_gate.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_gate.py
@@ -332,8 +332,6 @@
             raise self._admission.too_late()
         if not self._lease.is_valid(deadline_ms - self._clock.monotonic_ms()):
             raise _refusals.lease_too_short(self._settings.hold_ms)
-        if self._admission.lingering.count() >= self._grant.connection_cap:
-            raise self._admission.no_connection()
 
     async def _exchange(self, flight: Flight) -> ShardReply:
         began_ms = self._clock.monotonic_ms()
@@ -386,7 +384,7 @@
         p95_ms = self._times.p95_ms()
         if p95_ms is None:
             return settings.initial_time_limit_ms
-        limit_ms = max(settings.time_limit_factor * p95_ms, settings.min_time_limit_ms)
+        limit_ms = settings.time_limit_factor * p95_ms
         if self._slow_start.is_warm:
             return limit_ms
         # A cold upstream is slower than the replies recorded while it was warm.
--- a/packages/cuminbend/src/cuminbend/upstreams/_queue.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_queue.py
@@ -96,6 +96,12 @@
         queue = self._members.setdefault(ticket.request.member, _MemberQueue())
         bisect.insort(queue.tickets, ticket, key=lambda other: other.deadline_ms)
 
+    def put_back(self, ticket: Ticket) -> None:
+        """Put a ticket that was taken out back in its place."""
+        queue = self._members.setdefault(ticket.request.member, _MemberQueue())
+        bisect.insort_left(queue.tickets, ticket, key=lambda other: other.deadline_ms)
+        queue.deficit += COST
+
     def remove(self, ticket: Ticket) -> None:
         """Take a ticket out, if it is still in."""
         member = ticket.request.member
