Remember abandoned canaries until the upstream has answered again

Cause: an abandoned canary was forgotten at its deadline, but with a cold limit of 1 the next request, whose refused connection shows the break, is only sent after that deadline. A load report of 1 that never changes held the limit at 1. Exchanges cancelled by hedging never counted as slow.

--- a/packages/cuminbend/src/cuminbend/upstreams/_flight.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_flight.py
@@ -1,11 +1,15 @@
 """What one gate has in flight at its upstream."""
 
+from collections import deque
 from collections.abc import Callable, Iterable
 
 import anyio
 
 from cuminbend.messages import ShardRequest
 
+# Abandoned unproven requests remembered per upstream; more only come from a flood.
+MAX_DOUBTFUL = 100
+
 
 class CrashRecord:
     """The commits for the unproven requests of one break of an upstream.
@@ -61,6 +65,12 @@
         self.crash: CrashRecord | None = None
         self._changed = changed
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether it is unproven, and has not ended in a known and harmless way."""
+        recorded = self.crash is not None and not self.active
+        return self.unproven and self.began and not self.ended and not recorded
+
     def connection_gone(self) -> None:
         """Note that the upstream has closed the connection."""
         self.gone = True
@@ -77,6 +87,7 @@
 
     def __init__(self) -> None:
         self._flights: list[Flight] = []
+        self._doubtful: deque[Flight] = deque(maxlen=MAX_DOUBTFUL)
 
     def __len__(self) -> int:
         return len(self._flights)
@@ -96,12 +107,27 @@
             self._flights.remove(flight)
 
     def unproven(self) -> list[Flight]:
-        """Return the unproven requests that the upstream may be running."""
-        return [f for f in self._flights if f.unproven and f.began and not f.ended]
+        """Return the unproven requests that may break, or have broken, the upstream."""
+        return [f for f in (*self._doubtful, *self._flights) if f.is_doubtful]
+
+    def survived(self, began_ms: float) -> None:
+        """Note that the upstream answered a request sent at ``began_ms``.
+
+        Abandoned requests whose deadline was before that have not broken it.
+        """
+        self._doubtful = deque(
+            (f for f in self._doubtful if f.deadline_ms > began_ms), MAX_DOUBTFUL
+        )
 
     def expire(self, now_ms: float) -> None:
-        """Stop counting abandoned requests whose deadline has passed."""
-        self._flights = [f for f in self._flights if f.active or f.deadline_ms > now_ms]
+        """Stop counting abandoned requests whose deadline has passed.
+
+        Those that are unproven are remembered until the upstream gives an answer,
+        because the failure of a later request may be the first sign of a break.
+        """
+        ended = [f for f in self._flights if f.deadline_ms <= now_ms and not f.active]
+        self._doubtful.extend(flight for flight in ended if flight.is_doubtful)
+        self._flights = [f for f in self._flights if f not in ended]
 
     def next_expiry_ms(self) -> float:
         """Return when the next abandoned request stops counting, or infinity."""
--- a/packages/cuminbend/src/cuminbend/upstreams/_gate.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_gate.py
@@ -350,6 +350,10 @@
                 )
             if reply is None:
                 raise timed_out(self._upstream, limit_ms)
+        except anyio.get_cancelled_exc_class():
+            waited_ms = self._clock.monotonic_ms() - began_ms
+            self._slow_start.cancelled(waited_ms, flight.epoch)
+            raise
         except Exception as error:
             failure = as_failure(error, request)
             if failure.run_state is RunState.NOT_RUN and claim_id:
@@ -366,6 +370,7 @@
             raise verdict from error
         flight.gone = flight.ended = True
         self._replied(flight, reply, self._clock.monotonic_ms() - began_ms)
+        self._admission.flights.survived(began_ms)
         if flight.crash is not None:
             await flight.crash.done.wait()
             await self._crashes.clear(request.fingerprint)
--- a/packages/cuminbend/src/cuminbend/upstreams/_settings.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_settings.py
@@ -18,6 +18,8 @@
             a service that became slower for good is not held cold forever.
         load_tolerance: Reported load, as a share of the slots, that may remain
             unexplained by the requests in flight before it lowers the limit.
+        load_floor: Share of the slots below which reported load never lowers the
+            limit, so that an upstream that always reports full load still gets work.
         connection_linger_ms: Time for which an abandoned connection is counted.
         initial_time_limit_ms: Time limit of an exchange without recent observations.
         min_time_limit_ms: Lower bound of the time limit of an exchange.
@@ -44,6 +46,7 @@
     max_hold_ms: float = 2000.0
     drift_factor: float = 1.1
     load_tolerance: float = 0.25
+    load_floor: float = 0.5
     connection_linger_ms: float = 60_000.0
     initial_time_limit_ms: float = 200.0
     min_time_limit_ms: float = 50.0
--- a/packages/cuminbend/src/cuminbend/upstreams/_slow_start.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_slow_start.py
@@ -74,7 +74,8 @@
         if foreign <= self._settings.load_tolerance * self._slots:
             self._load_cap = self._slots
         else:
-            self._load_cap = max(COLD_LIMIT, self._slots - round(foreign))
+            floor = round(self._settings.load_floor * self._slots)
+            self._load_cap = max(floor, self._slots - round(foreign))
 
     def reset(self, reason: str, epoch: int | None = None) -> None:
         """Go back to cold and stay there for a backoff.
@@ -106,6 +107,14 @@
         self._window.clear()
         self._judge()
 
+    def cancelled(self, waited_ms: float, epoch: int) -> None:
+        """Count a cancelled exchange as slow if it already took too long.
+
+        Otherwise an upstream that loses every hedge would never be found slow.
+        """
+        if self._is_slow(waited_ms):
+            self.slow(waited_ms, epoch)
+
     def succeeded(self, service_time_ms: float, epoch: int) -> None:
         """Count a reply to a request that began under ``epoch``."""
         if epoch != self.epoch:
