Resume the best run when a restart did not help

Change: when no run has full coverage, the one that can still reach most shards is resumed with its replies. The canary passes over doubtful holdings while there are others, an overdue canary is replaced from the retry budget, and a first refused canary needs no token.

--- a/packages/cuminbend/src/cuminbend/query/_attempts.py
+++ b/packages/cuminbend/src/cuminbend/query/_attempts.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+from collections import Counter
 from dataclasses import dataclass, field
 
 from cuminbend.budgets import LatencyEstimate, TokenBudget
@@ -38,6 +39,9 @@
 _PRESSURE_STEP = 1.02
 _MAX_PRESSURE = 4.0
 _NEXT_HEDGE_QUANTILE = 0.9
+_UNREACHABLE = frozenset(
+    {UpstreamErrorKind.CONNECT, UpstreamErrorKind.RESET, UpstreamErrorKind.TIMEOUT}
+)
 _UPSTREAM_FAULTS = frozenset(UpstreamErrorKind) - {UpstreamErrorKind.MISMATCH}
 
 
@@ -144,6 +148,8 @@
         hedges: Those of them sent as hedges.
         cancelled: Those of them that were cancelled.
         failures: Errors of attempts.
+        unreachable: Attempts that did not reach a working upstream, by upstream.
+        snapshots: Snapshots that the search ran under.
     """
 
     search: CheckedSearch
@@ -155,6 +161,14 @@
     hedges: int = 0
     cancelled: int = 0
     failures: list[RequestFailedError] = field(default_factory=list)
+    unreachable: Counter[str] = field(default_factory=Counter)
+    snapshots: list[Snapshot] = field(default_factory=list)
+
+    def dead_upstreams(self, rounds: int) -> set[str]:
+        """Return the upstreams that ``rounds`` attempts did not reach."""
+        return {
+            upstream for upstream, count in self.unreachable.items() if count >= rounds
+        }
 
 
 class AttemptSender:
@@ -292,7 +306,7 @@
         elif outcome.error is not None:
             text = str(outcome.kind or type(outcome.error).__name__)
             context.failures.append(outcome.error)
-            self._record_fault(outcome, budget, latency_ms)
+            self._record_fault(context, outcome, budget, latency_ms)
             _log.debug(
                 "attempt_failed request=%s service=%s upstream=%s outcome=%s run=%s",
                 context.search.request.caller_request_id,
@@ -313,10 +327,17 @@
         )
 
     def _record_fault(
-        self, outcome: Outcome, budget: ServiceBudget, latency_ms: float
+        self,
+        context: SearchContext,
+        outcome: Outcome,
+        budget: ServiceBudget,
+        latency_ms: float,
     ) -> None:
+        is_unreachable = outcome.kind in _UNREACHABLE
+        if is_unreachable:
+            context.unreachable[outcome.upstream] += 1
         if outcome.kind in _UPSTREAM_FAULTS:
-            self._board.failed(outcome.upstream)
+            self._board.failed(outcome.upstream, is_unreachable=is_unreachable)
         if outcome.kind is UpstreamErrorKind.TIMEOUT:
             self._record_slow(outcome, budget, latency_ms)
 
--- a/packages/cuminbend/src/cuminbend/query/_canary.py
+++ b/packages/cuminbend/src/cuminbend/query/_canary.py
@@ -26,7 +26,7 @@
     order_upstreams,
 )
 from cuminbend.query._settings import QuerySettings
-from cuminbend.query._snapshots import ShardKey
+from cuminbend.query._snapshots import ShardKey, SnapshotSelector
 from cuminbend.query._validation import (
     check_lease,
     check_log_quarantine,
@@ -108,6 +108,7 @@
         view: ViewPort,
         clock: Clock,
         sender: AttemptSender,
+        selector: SnapshotSelector,
         book: FingerprintBook,
         context: SearchContext,
         snapshot: Snapshot,
@@ -119,6 +120,7 @@
         self._view = view
         self._clock = clock
         self._sender = sender
+        self._selector = selector
         self._book = book
         self._context = context
         self._snapshot = snapshot
@@ -192,13 +194,20 @@
         return broken if first is None else broken | {first}
 
     def _remaining(self, keys: Sequence[ShardKey], broken: set[str]) -> list[Candidate]:
-        return [
+        remaining = [
             candidate
             for candidate in list_candidates(
                 self._view, self._fingerprint, keys, self._snapshot
             )
             if candidate.upstream not in self._tried | broken
         ]
+        # Upstreams that answer from another snapshot by now are passed over. Until the
+        # registry says so, each new search would otherwise spend retries on them.
+        return [
+            candidate
+            for candidate in remaining
+            if not self._selector.is_doubted(candidate.upstream, self._snapshot)
+        ] or remaining
 
     async def _start_next_round(
         self, keys: Sequence[ShardKey], broken: set[str]
@@ -224,6 +233,11 @@
         return min(delay_ms, self._settings.retry_delay_max_ms)
 
     async def _take_retry_token(self, service: str) -> None:
+        failures = self._context.failures
+        if len(failures) == 1 and failures[0].run_state is RunState.NOT_RUN:
+            # Nothing at all is answered without the canary, so an empty budget does
+            # not hold it up after a first refusal.
+            return
         while not self._sender.service(service).retries.try_spend():
             await self._clock.sleep(ms(self._settings.retry_delay_ms))
 
@@ -255,9 +269,11 @@
                 group.start_soon(attempt, candidates[0], WorkKind.SUSPECT)
             else:
                 group.start_soon(attempt, candidates[0], WorkKind.CANARY)
-                if await self._is_worth_hedging(candidates, ended):
+                reason = await self._wait_for_second(candidates, ended)
+                if reason is not None:
                     # Not sent as a hedge, because it is as unproven as the first.
-                    group.start_soon(attempt, candidates[1], WorkKind.CANARY, True)
+                    is_hedge = reason is WorkKind.HEDGE
+                    group.start_soon(attempt, candidates[1], WorkKind.CANARY, is_hedge)
         for proof in outcomes:
             if proof.outcome.reply is not None:
                 return proof
@@ -265,20 +281,26 @@
             self._judge_failure(proof.outcome, suspect=suspect)
         return None
 
-    async def _is_worth_hedging(
+    async def _wait_for_second(
         self, candidates: Sequence[Candidate], ended: anyio.Event
-    ) -> bool:
+    ) -> WorkKind | None:
+        """Return which budget pays for a second attempt, or None if none is due."""
         if len(candidates) < 2:
-            return False
-        wait_ms = self._sender.service(candidates[0].key[0]).hedge_delay_ms
+            return None
+        service = self._sender.service(candidates[0].key[0])
+        wait_ms = service.hedge_delay_ms
+        overdue_at_ms = self._clock.monotonic_ms() + service.overdue_ms
         is_first_try = True
         while True:
             with anyio.move_on_after(wait_ms / 1000):
                 await ended.wait()
             if ended.is_set():
-                return False
+                return None
             if self._sender.hedges.try_spend(is_first_try=is_first_try):
-                return True
+                return WorkKind.HEDGE
+            is_overdue = self._clock.monotonic_ms() >= overdue_at_ms
+            if is_overdue and service.retries.try_spend():
+                return WorkKind.RETRY
             is_first_try = False
             wait_ms = self._settings.hedge_floor_ms
 
--- a/packages/cuminbend/src/cuminbend/query/_coordinator.py
+++ b/packages/cuminbend/src/cuminbend/query/_coordinator.py
@@ -160,26 +160,39 @@
         self, context: SearchContext, runs: list[QueryRun]
     ) -> None:
         """Run the search, again under another snapshot whenever one is lost."""
-        wanted = context.search.request.snapshot
-        snapshot = wanted or self._selector.choose(context.search.services)
+        snapshot = context.search.request.snapshot or self._choose_first(context)
         while snapshot is not None:
-            restarts_left = self._settings.max_restarts - len(runs)
-            run = self._make_run(
-                context, snapshot, may_restart=wanted is None and restarts_left > 0
-            )
+            run = self._make_run(context, snapshot)
             runs.append(run)
+            context.snapshots.append(snapshot)
             await run.run()
             if not run.lost:
-                return
+                break
             snapshot = self._selector.choose(
                 context.search.services,
-                exclude=[run.snapshot for run in runs],
+                exclude=context.snapshots,
                 only_full=True,
+                without=context.dead_upstreams(self._settings.latency_rounds),
             )
+        if len(runs) > 1 and not runs[-1].is_full:
+            # A restart that did not help must not cost the coverage that an earlier
+            # run would have reached.
+            best = max(runs, key=lambda run: (run.reachable, _merit(run)))
+            await best.resume()
+
+    def _choose_first(self, context: SearchContext) -> Snapshot | None:
+        services = context.search.services
+        reachable = self._selector.choose(
+            services, only_full=True, without=self._board.unreachable()
+        )
+        return reachable or self._selector.choose(services)
 
-    def _make_run(
-        self, context: SearchContext, snapshot: Snapshot, *, may_restart: bool
-    ) -> QueryRun:
+    def _make_run(self, context: SearchContext, snapshot: Snapshot) -> QueryRun:
+        restarts = len(context.snapshots)
+        may_restart = (
+            context.search.request.snapshot is None
+            and restarts < self._settings.max_restarts
+        )
         return QueryRun(
             settings=self._settings,
             view=self._view,
@@ -191,6 +204,7 @@
             context=context,
             snapshot=snapshot,
             may_restart=may_restart,
+            may_wait=not restarts,
         )
 
     def _make_answer(self, context: SearchContext, run: QueryRun) -> SearchAnswer:
--- a/packages/cuminbend/src/cuminbend/query/_fanout.py
+++ b/packages/cuminbend/src/cuminbend/query/_fanout.py
@@ -22,9 +22,6 @@
 
 _log = logging.getLogger(__name__)
 
-_UNREACHABLE = frozenset(
-    {UpstreamErrorKind.CONNECT, UpstreamErrorKind.RESET, UpstreamErrorKind.TIMEOUT}
-)
 # A hedge without a token is considered again after this share of its delay, but at
 # least the floor of the delay.
 _HEDGE_RECHECK_SHARE = 0.25
@@ -42,7 +39,6 @@
         hedges: Hedges sent.
         wants_hedge: Whether a hedge is due and found no token so far.
         tried: Attempts that ended without a complete reply, by upstream.
-        unreachable: Those of them that did not reach a working upstream.
         check_at_ms: When the shard is next considered for a hedge.
         overdue_at_ms: When the attempts in flight count as lost.
     """
@@ -56,7 +52,6 @@
         self.wants_hedge = False
         self.in_flight: list[tuple[str, anyio.CancelScope]] = []
         self.tried: Counter[str] = Counter()
-        self.unreachable: Counter[str] = Counter()
         self.partial_from: set[str] = set()
         self.started_at_ms: float | None = None
         self.check_at_ms = float("inf")
@@ -68,8 +63,6 @@
             return
         if outcome.reply is None:
             self.tried[outcome.upstream] += 1
-            if outcome.kind in _UNREACHABLE:
-                self.unreachable[outcome.upstream] += 1
             return
         if not outcome.reply.complete:
             self.tried[outcome.upstream] += 1
@@ -119,6 +112,7 @@
         context: SearchContext,
         snapshot: Snapshot,
         may_restart: bool,
+        may_wait: bool,
     ) -> None:
         self._settings = settings
         self._view = view
@@ -129,6 +123,7 @@
         self._book = book
         self._context = context
         self._may_restart = may_restart
+        self._may_wait = may_wait
         self._services = context.search.services
         self._prefers_coverage = context.search.member.prefer is Preference.COVERAGE
         self.snapshot = snapshot
@@ -152,11 +147,40 @@
         """Shards with a complete reply."""
         return sum(shard.complete for shard in self.shards.values())
 
+    @property
+    def is_full(self) -> bool:
+        """Whether each shard has a complete reply."""
+        return self.answered == len(self.shards)
+
     @property
     def replied(self) -> int:
         """Shards with a complete or partial reply."""
         return sum(shard.answer is not None for shard in self.shards.values())
 
+    @property
+    def reachable(self) -> int:
+        """Shards that have a complete reply or can still be asked for one."""
+        dead = self._dead_upstreams()
+        return sum(
+            shard.complete
+            or bool(self._selector.trusted_holders(shard.key, self.snapshot, dead))
+            for shard in self.shards.values()
+        )
+
+    async def resume(self) -> None:
+        """Go on with a run that ended without full coverage, until the deadline.
+
+        Raises:
+            RequestFailedError: As :meth:`run`.
+        """
+        self.lost = False
+        self._may_restart = False
+        self._may_wait = True
+        if self._prefers_coverage:
+            for shard in self.shards.values():
+                shard.settled = shard.complete
+        await self.run()
+
     async def run(self) -> None:
         """Return when all shards are settled or the run is lost.
 
@@ -190,6 +214,7 @@
             view=self._view,
             clock=self._clock,
             sender=self._sender,
+            selector=self._selector,
             book=self._book,
             context=self._context,
             snapshot=self.snapshot,
@@ -295,19 +320,16 @@
     def _choose(self, shard: ShardState) -> UpstreamRecord | None:
         """Return the replica to ask next, preferring those not asked yet."""
         holders = self._open_holders(shard)
-        asked = {upstream for upstream, _ in shard.in_flight}
-        # An upstream is asked twice at a time only if it is the last replica: a slow
-        # request or a silent connection does not make the next one slow as well.
-        holders = [
-            record for record in holders if record.announcement.upstream not in asked
-        ] or holders
         if not holders:
             return None
-        # A doubtful holding is better than none: a reply from another snapshot is
-        # dropped anyway.
-        rank = min(self._rank(shard, record) for record in holders)
+        ranks = [self._rank(shard, record) for record in holders]
+        best = min(ranks)
         return self._board.choose(
-            [record for record in holders if self._rank(shard, record) == rank],
+            [
+                record
+                for record, rank in zip(holders, ranks, strict=True)
+                if rank == best
+            ],
             typical_ms=self._sender.service(shard.key[0]).typical_ms,
         )
 
@@ -318,9 +340,19 @@
             if record.announcement.upstream not in shard.partial_from
         ]
 
-    def _rank(self, shard: ShardState, record: UpstreamRecord) -> tuple[bool, int]:
+    def _rank(
+        self, shard: ShardState, record: UpstreamRecord
+    ) -> tuple[bool, bool, int]:
+        """Return how little a replica is wanted for the next attempt.
+
+        An upstream is asked twice at a time only if it is the last replica: a slow
+        request or a silent connection does not make the next one slow as well. A
+        doubtful holding is better than none, because a reply from another snapshot is
+        dropped anyway.
+        """
         upstream = record.announcement.upstream
         return (
+            any(upstream == asked for asked, _ in shard.in_flight),
             self._selector.is_doubted(upstream, self.snapshot),
             shard.tried[upstream],
         )
@@ -329,19 +361,26 @@
         """Tell whether no known replica can be expected to answer in full.
 
         Members that prefer coverage give up only when all replicas answered in part;
-        otherwise they wait for replicas to come back until the deadline.
+        otherwise they wait for replicas to come back until the deadline, unless the
+        run of another snapshot can be resumed.
         """
         holders = self._holder_names(shard)
         if holders and holders <= shard.partial_from:
             return True
-        if self._prefers_coverage:
+        if self._prefers_coverage and self._may_wait:
             return False
+        dead = self._dead_upstreams() | shard.partial_from
         return all(
-            upstream in shard.partial_from
-            or shard.unreachable[upstream] >= self._settings.latency_rounds
+            upstream in dead or self._is_disproved(shard, upstream)
             for upstream in holders
         )
 
+    def _is_disproved(self, shard: ShardState, upstream: str) -> bool:
+        """Tell whether an upstream answered this query from another snapshot."""
+        return shard.tried[upstream] > 0 and self._selector.is_doubted(
+            upstream, self.snapshot
+        )
+
     def _holder_names(self, shard: ShardState) -> set[str]:
         return {
             record.announcement.upstream
@@ -384,7 +423,10 @@
         if self._remaining_ms() < 2 * self._slowest_delay_ms():
             return False
         other = self._selector.choose(
-            self._services, exclude=[self.snapshot], only_full=True, without=dead
+            self._services,
+            exclude=self._context.snapshots,
+            only_full=True,
+            without=dead,
         )
         if other is None:
             return False
@@ -399,12 +441,7 @@
         return True
 
     def _dead_upstreams(self) -> set[str]:
-        return {
-            upstream
-            for shard in self.shards.values()
-            for upstream, count in shard.unreachable.items()
-            if count >= self._settings.latency_rounds
-        }
+        return self._context.dead_upstreams(self._settings.latency_rounds)
 
     def _remaining_ms(self) -> float:
         return self._context.deadline_at_ms - self._clock.monotonic_ms()
--- a/packages/cuminbend/src/cuminbend/query/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/query/_replicas.py
@@ -40,6 +40,7 @@
         self._random = random
         self._local_data_centre = local_data_centre
         self._observed: dict[str, _Observed] = {}
+        self._unreachable: set[str] = set()
         self._forget_at = _FORGET_LIMIT
 
     def started(self, upstream: str) -> None:
@@ -54,6 +55,7 @@
         """Record a reply."""
         observed = self._of(upstream)
         observed.failures = 0
+        self._unreachable.discard(upstream)
         observed.avoid_until_ms = 0.0
         self._sample(observed, latency_ms)
 
@@ -63,9 +65,11 @@
         if observed.latency_ms is None or waited_ms > observed.latency_ms:
             self._sample(observed, waited_ms)
 
-    def failed(self, upstream: str) -> None:
+    def failed(self, upstream: str, *, is_unreachable: bool) -> None:
         """Avoid an upstream for a time that grows with each failure in a row."""
         observed = self._of(upstream)
+        if is_unreachable:
+            self._unreachable.add(upstream)
         delay = self._settings.avoid_ms * 2 ** min(observed.failures, 16)
         observed.failures += 1
         observed.avoid_until_ms = self._clock.monotonic_ms() + min(
@@ -76,6 +80,14 @@
         """Tell whether an upstream failed lately."""
         return self._of(upstream).avoid_until_ms > self._clock.monotonic_ms()
 
+    def unreachable(self) -> set[str]:
+        """Return the upstreams that could not be reached twice in a row lately."""
+        return {
+            upstream
+            for upstream in self._unreachable
+            if self._of(upstream).failures > 1 and self.is_avoided(upstream)
+        }
+
     def choose(
         self, records: Sequence[UpstreamRecord], *, typical_ms: float
     ) -> UpstreamRecord:
@@ -147,6 +159,7 @@
         for upstream in [name for name in self._observed if name not in known]:
             if not self._observed[upstream].in_flight:
                 del self._observed[upstream]
+                self._unreachable.discard(upstream)
         self._forget_at = max(_FORGET_LIMIT, 2 * len(self._observed))
 
     def dump(self) -> dict[str, dict[str, float | None]]:
--- a/packages/cuminbend/src/cuminbend/query/_snapshots.py
+++ b/packages/cuminbend/src/cuminbend/query/_snapshots.py
@@ -41,10 +41,13 @@
 
     def trust(self, upstream: str, snapshot: Snapshot) -> None:
         """Forget a doubt after a reply from the right snapshot."""
-        self._doubts.pop((upstream, snapshot), None)
+        if self._doubts:
+            self._doubts.pop((upstream, snapshot), None)
 
     def is_doubted(self, upstream: str, snapshot: Snapshot) -> bool:
         """Tell whether an upstream is avoided for a snapshot."""
+        if not self._doubts:
+            return False
         end = self._doubts.get((upstream, snapshot))
         return end is not None and end > self._clock.monotonic_ms()
 
