--- a/packages/cuminbend/src/cuminbend/query/_canary.py
+++ b/packages/cuminbend/src/cuminbend/query/_canary.py
@@ -4,7 +4,7 @@
 """
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from itertools import chain
 
@@ -27,7 +27,12 @@
     order_upstreams,
 )
 from cuminbend.query._settings import QuerySettings
-from cuminbend.query._snapshots import ShardKey
+from cuminbend.query._snapshots import ShardKey, SnapshotSelector
+from cuminbend.query._validation import (
+    check_lease,
+    check_quarantine,
+    make_quarantined_error,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -83,21 +88,6 @@
     return [Candidate(key, holders[n]) for n in order_upstreams(fingerprint, holders)]
 
 
-def check_quarantine(view: ViewPort, book: FingerprintBook, fingerprint: str) -> None:
-    """Refuse a fingerprint that broke two upstreams.
-
-    Raises:
-        QuarantinedError: If the log or this instance knows of two.
-    """
-    broken = book.broken_upstreams(fingerprint)
-    if fingerprint in view.quarantined or len(broken) >= _MAX_BROKEN:
-        raise QuarantinedError(
-            f"request {fingerprint} broke two upstreams and is refused; change the "
-            "request, and look at the upstreams named by 'cuminbendctl dump'",
-            run_state=RunState.RAN,
-        )
-
-
 class Canary:
     """The trial of one search."""
 
@@ -108,9 +98,11 @@
         view: ViewPort,
         clock: Clock,
         sender: AttemptSender,
+        selector: SnapshotSelector,
         book: FingerprintBook,
         context: SearchContext,
         snapshot: Snapshot,
+        reported: Iterable[str],
         is_lost: Callable[[], bool],
     ) -> None:
         self._settings = settings
@@ -118,12 +110,15 @@
         self._view = view
         self._clock = clock
         self._sender = sender
+        self._selector = selector
         self._book = book
         self._context = context
         self._snapshot = snapshot
         self._fingerprint = context.fingerprint
-        # Where the fingerprint was found to be a suspect by the owner of an upstream.
-        self._reported: set[str] = set()
+        # Upstreams that owners say the fingerprint broke.
+        self._reported = set(reported)
+        # Upstreams whose owner was lost while they may have run the request.
+        self._lost: set[str] = set()
         self._tried: set[str] = set()
         self._rounds = 0
 
@@ -138,8 +133,8 @@
             UnavailableError: If it cannot be tried.
         """
         while True:
-            check_quarantine(self._view, self._book, self._fingerprint)
-            if self._book.is_proven(self._fingerprint):
+            check_quarantine(self._view, self._fingerprint)
+            if self._is_proven():
                 return None
             event = self._book.in_progress(self._fingerprint)
             if event is None:
@@ -151,10 +146,25 @@
         finally:
             self._book.end(self._fingerprint)
 
+    def _is_proven(self) -> bool:
+        first = self._view.suspects.get(self._fingerprint)
+        return self._book.is_proven(self._fingerprint, self._snapshot) and (
+            first is None or self._book.is_cleared(self._fingerprint, first)
+        )
+
     async def _try_candidates(self, keys: Sequence[ShardKey]) -> Proof | None:
         while True:
-            check_quarantine(self._view, self._book, self._fingerprint)
+            check_quarantine(self._view, self._fingerprint)
+            check_lease(self._view, self._context.configuration)
             broken = self._broken()
+            if len(broken) >= _MAX_BROKEN:
+                raise make_quarantined_error(self._fingerprint)
+            if len(broken | self._lost) >= _MAX_BROKEN:
+                raise UnavailableError(
+                    f"request {self._fingerprint} may have broken "
+                    f"{', '.join(sorted(broken | self._lost))}; try again later",
+                    run_state=RunState.RAN if broken else RunState.UNKNOWN,
+                )
             candidates = self._remaining(keys, broken)
             if not candidates:
                 if not await self._start_next_round(keys, broken):
@@ -162,7 +172,7 @@
                 continue
             proof = await self._ask(candidates, suspect=bool(broken))
             if proof is not None:
-                self._book.record_answered(self._fingerprint)
+                self._book.record_answered(self._fingerprint, self._snapshot, broken)
                 return proof
             if self._is_lost():
                 return None
@@ -174,13 +184,20 @@
         return broken if first is None else broken | {first}
 
     def _remaining(self, keys: Sequence[ShardKey], broken: set[str]) -> list[Candidate]:
-        return [
+        remaining = [
             candidate
             for candidate in list_candidates(
                 self._view, self._fingerprint, keys, self._snapshot
             )
             if candidate.upstream not in self._tried | broken
         ]
+        # Upstreams that answer from another snapshot by now are passed over. Until the
+        # registry says so, each new search would otherwise spend retries on them.
+        return [
+            candidate
+            for candidate in remaining
+            if not self._selector.is_doubted(candidate.upstream, self._snapshot)
+        ] or remaining
 
     async def _start_next_round(
         self, keys: Sequence[ShardKey], broken: set[str]
@@ -206,6 +223,11 @@
         return min(delay_ms, self._settings.retry_delay_max_ms)
 
     async def _take_retry_token(self, service: str) -> None:
+        failures = self._context.failures
+        if len(failures) == 1 and failures[0].run_state is RunState.NOT_RUN:
+            # Nothing at all is answered without the canary, so an empty budget does
+            # not hold it up after a first refusal.
+            return
         while not self._sender.service(service).retries.try_spend():
             await self._clock.sleep(ms(self._settings.retry_delay_ms))
 
@@ -216,10 +238,17 @@
         ended = anyio.Event()
         async with anyio.create_task_group() as group:
 
-            async def attempt(candidate: Candidate, kind: WorkKind) -> None:
+            async def attempt(
+                candidate: Candidate, kind: WorkKind, is_hedge: bool = False
+            ) -> None:
                 self._tried.add(candidate.upstream)
                 outcome = await self._sender.send(
-                    self._context, candidate.key, self._snapshot, candidate.record, kind
+                    self._context,
+                    candidate.key,
+                    self._snapshot,
+                    candidate.record,
+                    kind,
+                    is_hedge=is_hedge,
                 )
                 outcomes.append(Proof(candidate.key, outcome))
                 ended.set()
@@ -230,8 +259,11 @@
                 group.start_soon(attempt, candidates[0], WorkKind.SUSPECT)
             else:
                 group.start_soon(attempt, candidates[0], WorkKind.CANARY)
-                if await self._is_worth_hedging(candidates, ended):
-                    group.start_soon(attempt, candidates[1], WorkKind.HEDGE)
+                reason = await self._wait_for_second(candidates, ended)
+                if reason is not None:
+                    # Not sent as a hedge, because it is as unproven as the first.
+                    is_hedge = reason is WorkKind.HEDGE
+                    group.start_soon(attempt, candidates[1], WorkKind.CANARY, is_hedge)
         for proof in outcomes:
             if proof.outcome.reply is not None:
                 return proof
@@ -239,17 +271,28 @@
             self._judge_failure(proof.outcome, suspect=suspect)
         return None
 
-    async def _is_worth_hedging(
+    async def _wait_for_second(
         self, candidates: Sequence[Candidate], ended: anyio.Event
-    ) -> bool:
+    ) -> WorkKind | None:
+        """Return which budget pays for a second attempt, or None if none is due."""
+        if len(candidates) < 2:
+            return None
         service = self._sender.service(candidates[0].key[0])
-        with anyio.move_on_after(service.hedge_delay_ms / 1000):
-            await ended.wait()
-        return (
-            not ended.is_set()
-            and len(candidates) > 1
-            and self._sender.hedges.try_spend()
-        )
+        wait_ms = service.hedge_delay_ms
+        overdue_at_ms = self._clock.monotonic_ms() + service.overdue_ms
+        is_first_try = True
+        while True:
+            with anyio.move_on_after(wait_ms / 1000):
+                await ended.wait()
+            if ended.is_set():
+                return None
+            if self._sender.hedges.try_spend(is_first_try=is_first_try):
+                return WorkKind.HEDGE
+            is_overdue = self._clock.monotonic_ms() >= overdue_at_ms
+            if is_overdue and service.retries.try_spend():
+                return WorkKind.RETRY
+            is_first_try = False
+            wait_ms = self._settings.hedge_floor_ms
 
     def _judge_failure(self, outcome: Outcome, *, suspect: bool) -> None:
         error = outcome.error
@@ -277,7 +320,9 @@
                 f"{outcome.upstream} ended without a reply; try again later",
                 run_state=error.run_state,
             )
-        elif error.run_state is not RunState.NOT_RUN and outcome.kind is None:
+        elif error.run_state is not RunState.NOT_RUN and isinstance(
+            error, UnavailableError
+        ):
             # The instance that owns the upstream was lost with the request. The
             # upstream may be broken although nobody saw it break.
-            self._book.record_broken(self._fingerprint, outcome.upstream)
+            self._lost.add(outcome.upstream)
--- a/packages/cuminbend/src/cuminbend/query/_coordinator.py
+++ b/packages/cuminbend/src/cuminbend/query/_coordinator.py
@@ -7,6 +7,7 @@
 from cuminbend.config import Configuration
 from cuminbend.exceptions import (
     DeadlineExceededError,
+    QuarantinedError,
     RequestFailedError,
     RunState,
     UnavailableError,
@@ -15,7 +16,6 @@
 from cuminbend.ports import Clock, RandomSource, ShardDispatcher
 from cuminbend.query._attempts import AttemptSender, SearchContext
 from cuminbend.query._base import QueryObserver, SearchAnswer, SearchRequest, ViewPort
-from cuminbend.query._canary import check_quarantine
 from cuminbend.query._fanout import QueryRun
 from cuminbend.query._fingerprints import FingerprintBook, compute_fingerprint
 from cuminbend.query._replicas import ReplicaBoard
@@ -24,6 +24,7 @@
 from cuminbend.query._validation import (
     check_configuration,
     check_lease,
+    check_quarantine,
     check_search_request,
 )
 
@@ -119,13 +120,23 @@
         self, request: SearchRequest, started_at_ms: float
     ) -> SearchAnswer:
         context = self._check(request, started_at_ms)
+        self._board.forget_absent(self._view.upstreams)
         runs: list[QueryRun] = []
         remaining_ms = context.deadline_at_ms - self._clock.monotonic_ms()
+        failure: RequestFailedError | None = None
         with anyio.move_on_after(remaining_ms / 1000) as deadline:
-            await self._run_until_covered(context, runs)
+            try:
+                await self._run_until_covered(context, runs)
+            except QuarantinedError:
+                raise
+            except RequestFailedError as error:
+                # The replies of an earlier run, or of shards asked before the search
+                # became a suspect, are still a valid answer.
+                failure = error
         best = max(runs, key=_merit, default=None)
         if best is None or not best.replied:
-            raise _make_failure(context, best, timed_out=deadline.cancelled_caught)
+            timed_out = deadline.cancelled_caught
+            raise failure or _make_failure(context, best, timed_out=timed_out)
         return self._make_answer(context, best)
 
     def _check(self, request: SearchRequest, started_at_ms: float) -> SearchContext:
@@ -133,7 +144,7 @@
         checked = check_search_request(request, configuration)
         check_lease(self._view, configuration)
         fingerprint = compute_fingerprint(request.target, request.body)
-        check_quarantine(self._view, self._book, fingerprint)
+        check_quarantine(self._view, fingerprint)
         margin_ms = min(
             self._settings.answer_margin_ms, _MARGIN_SHARE * checked.deadline_ms
         )
@@ -143,35 +154,45 @@
             fingerprint=fingerprint,
             started_at_ms=started_at_ms,
             deadline_at_ms=started_at_ms + checked.deadline_ms - margin_ms,
-            attempts=0,
-            hedges=0,
-            failures=[],
         )
 
     async def _run_until_covered(
         self, context: SearchContext, runs: list[QueryRun]
     ) -> None:
         """Run the search, again under another snapshot whenever one is lost."""
-        wanted = context.search.request.snapshot
-        snapshot = wanted or self._selector.choose(context.search.services)
+        snapshot = context.search.request.snapshot or self._choose_first(context)
         while snapshot is not None:
-            restarts_left = self._settings.max_restarts - len(runs)
-            run = self._make_run(
-                context, snapshot, may_restart=wanted is None and restarts_left > 0
-            )
+            run = self._make_run(context, snapshot)
             runs.append(run)
+            context.snapshots.append(snapshot)
             await run.run()
             if not run.lost:
-                return
+                break
             snapshot = self._selector.choose(
                 context.search.services,
-                exclude=[run.snapshot for run in runs],
+                exclude=context.snapshots,
                 only_full=True,
+                without=context.dead_upstreams(self._settings.latency_rounds),
             )
+        if len(runs) > 1 and not runs[-1].is_full:
+            # A restart that did not help must not cost the coverage that an earlier
+            # run would have reached.
+            best = max(runs, key=lambda run: (run.reachable, _merit(run)))
+            await best.resume()
+
+    def _choose_first(self, context: SearchContext) -> Snapshot | None:
+        services = context.search.services
+        reachable = self._selector.choose(
+            services, only_full=True, without=self._board.unreachable()
+        )
+        return reachable or self._selector.choose(services)
 
-    def _make_run(
-        self, context: SearchContext, snapshot: Snapshot, *, may_restart: bool
-    ) -> QueryRun:
+    def _make_run(self, context: SearchContext, snapshot: Snapshot) -> QueryRun:
+        restarts = len(context.snapshots)
+        may_restart = (
+            context.search.request.snapshot is None
+            and restarts < self._settings.max_restarts
+        )
         return QueryRun(
             settings=self._settings,
             view=self._view,
@@ -183,10 +204,11 @@
             context=context,
             snapshot=snapshot,
             may_restart=may_restart,
+            may_wait=not restarts,
         )
 
     def _make_answer(self, context: SearchContext, run: QueryRun) -> SearchAnswer:
-        self._book.record_answered(context.fingerprint)
+        self._book.extend_proof(context.fingerprint)
         shards = run.shards.values()
         return SearchAnswer(
             caller_request_id=context.search.request.caller_request_id,
@@ -232,8 +254,8 @@
 ) -> RequestFailedError:
     """Return the error of a search that no shard answered."""
     states = [error.run_state for error in context.failures]
-    if timed_out and context.attempts > len(states):
-        # Attempts in flight at the deadline were cancelled and may have run.
+    if context.cancelled:
+        # Attempts in flight at the deadline, or under a lost snapshot, may have run.
         states.append(RunState.UNKNOWN)
     run_state = max(states, key=_RUN_STATES.index, default=RunState.NOT_RUN)
     waits = [e.retry_after_ms for e in context.failures if e.retry_after_ms is not None]
