--- a/packages/cuminbend/src/cuminbend/replicated/_state.py
+++ b/packages/cuminbend/src/cuminbend/replicated/_state.py
@@ -9,7 +9,7 @@
 from pydantic import ValidationError
 
 from cuminbend.config import Configuration
-from cuminbend.exceptions import CorruptDataError
+from cuminbend.exceptions import ConfigurationError, CorruptDataError
 from cuminbend.replicated._claims import ClaimTable
 from cuminbend.replicated._commands import (
     ApplyConfiguration,
@@ -60,12 +60,12 @@
     """
 
     def __init__(self, *, limits: StateLimits | None = None) -> None:
-        limits = limits or StateLimits()
+        self._limits = limits or StateLimits()
         self.on_configuration: Callable[[], None] | None = None
         self._now_ms = 0.0
-        self._configurations = ConfigurationTable(limits=limits)
-        self._claims = ClaimTable(limits=limits)
-        self._suspects = SuspectTable(limits=limits)
+        self._configurations = ConfigurationTable(limits=self._limits)
+        self._claims = ClaimTable(limits=self._limits)
+        self._suspects = SuspectTable(limits=self._limits)
 
     def apply(self, kind: str, data: bytes, at_ms: float) -> bytes:
         """Apply one entry of the log.
@@ -167,24 +167,33 @@
         before = self.version
         try:
             content = json.loads(data)
-            level = content["level"]
-        except (ValueError, KeyError, TypeError) as error:
+            if content["level"] > LEVEL:
+                raise CorruptDataError(
+                    f"the snapshot has level {content['level']} and this version knows "
+                    f"{LEVEL}; upgrade this instance"
+                )
+            self._load(content)
+        except (ValueError, KeyError, TypeError, ConfigurationError) as error:
             raise CorruptDataError(
                 "the snapshot of the control state cannot be read; move the data "
                 "folder aside and let the voter rejoin with an empty one"
             ) from error
-        if level > LEVEL:
-            raise CorruptDataError(
-                f"the snapshot has level {level} and this version knows {LEVEL}; "
-                "upgrade this instance"
-            )
-        self._now_ms = content["now_ms"]
-        self._configurations.restore(content["configurations"])
-        self._claims.restore(content["claims"])
-        self._suspects.restore(content["suspects"])
         if self.version != before:
             self._notify()
 
+    def _load(self, content: dict[str, Any]) -> None:
+        """Replace the tables, all of them or none."""
+        configurations = ConfigurationTable(limits=self._limits)
+        configurations.restore(content["configurations"])
+        claims = ClaimTable(limits=self._limits)
+        claims.restore(content["claims"])
+        suspects = SuspectTable(limits=self._limits)
+        suspects.restore(content["suspects"])
+        self._now_ms = content["now_ms"]
+        self._configurations = configurations
+        self._claims = claims
+        self._suspects = suspects
+
     @property
     def now_ms(self) -> float:
         """State machine time: the greatest leader time so far, in ms."""
