Test single submits against a scripted cluster

Cause: copies of the code with a mechanism removed showed that the cluster trial could not fail on a submit sent after a freeze: its assertion stood inside the dispatch and was turned into an unexpected failure of the request.

Change: the trial collects such submits and checks them at the end; tables for refusals, outcomes with resends, freezes between claim and dispatch, claims of unknown fate, cancelled callers, outages and the choice of upstream. The race of operators also checks the base version of each winner: without the comparison in apply it had passed.

--- a/packages/cuminbend/src/cuminbend/replicated/tests/test_configurations.py
+++ b/packages/cuminbend/src/cuminbend/replicated/tests/test_configurations.py
@@ -31,6 +31,7 @@
         result = machine(command, 10)
         assert verdicts.setdefault(command.apply_id, result) == result
         if result.accepted:
+            assert command.base_version == result.version - 1
             assert winners.setdefault(result.version, command.apply_id) == (
                 command.apply_id
             )
--- a/packages/cuminbend/src/cuminbend/replicated/tests/test_state.py
+++ b/packages/cuminbend/src/cuminbend/replicated/tests/test_state.py
@@ -28,6 +28,7 @@
         after_ms = rng.choice([0, 1, 2000, 15_000, 60_000, -30_000])
         assert steady(command, after_ms) == restarted(command, after_ms)
         restarted.restart()
+        assert steady.state.dump() == restarted.state.dump()
         assert steady.state.snapshot() == restarted.state.snapshot()
         assert steady.state.quarantined == restarted.state.quarantined
         assert steady.state.suspects == restarted.state.suspects
--- a/packages/cuminbend/src/cuminbend/submit/tests/_fakes.py
+++ b/packages/cuminbend/src/cuminbend/submit/tests/_fakes.py
@@ -190,7 +190,7 @@
         self.dead = False
         self.valid_until = float("inf")
         self.local_data_centre = data_centre
-        self.configuration = parse_configuration(file_text())
+        self.set_file(file_text())
         self.upstreams = cluster.upstreams_by_name
         self.lease = self
         self.accounts = MemberAccounts()
@@ -206,6 +206,9 @@
             accounts=self.accounts,
         )
 
+    def set_file(self, text):
+        self.configuration = parse_configuration(text)
+
     def is_valid(self, for_ms=0):
         return trio.current_time() + for_ms / 1000 < self.valid_until
 
@@ -223,13 +226,14 @@
         self.step()
         if self.cluster.freeze and self.cluster.rng.random() < self.cluster.freeze:
             self.cluster.mock_clock.jump(self.cluster.rng.choice([0.4, 4.0]))
+            self.step()
         return result
 
     async def dispatch(self, request):
         self.step()
         # A process that was frozen after the claim must not send any more.
-        assert self.is_valid()
-        assert request.budget_ms > 0
+        if not self.is_valid() or request.budget_ms <= 0:
+            self.cluster.sent_too_late.append(request)
         reply = await self.cluster.upstreams.dispatch(request)
         self.step()
         return reply
@@ -248,6 +252,7 @@
         self.rng = random.Random(seed)
         self.mock_clock = mock_clock
         self.freeze = freeze
+        self.sent_too_late = []
         self.control = FakeControl(self.rng, nursery, faults)
         self.upstreams = FakeUpstreams(self.rng, faults)
         self.upstreams_by_name = {}
--- a/packages/cuminbend/src/cuminbend/submit/tests/test_at_most_once.py
+++ b/packages/cuminbend/src/cuminbend/submit/tests/test_at_most_once.py
@@ -96,6 +96,7 @@
     def check(self):
         upstreams = self.cluster.upstreams
         assert max(upstreams.runs.values()) == 1
+        assert not self.cluster.sent_too_late
         for caller_request_id, outcome in self.outcomes.items():
             ran = caller_request_id in upstreams.ran_by
             key_ran = self.keys[caller_request_id] in upstreams.runs
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/submit/tests/test_coordinator.py
@@ -0,0 +1,338 @@
+"""Tests of single submits."""
+
+import json
+
+import pytest
+import trio
+
+from cuminbend.exceptions import RequestFailedError
+from cuminbend.messages import UpstreamState, WorkKind
+from cuminbend.replicated import ClaimOutcome, RecordOutcome
+from cuminbend.submit import SubmitRequest
+from cuminbend.submit.tests._fakes import (
+    EPOCH_MS,
+    Process,
+    file_text,
+    new_key,
+    run_cluster,
+)
+
+DAY_MS = 86_400_000
+
+
+def run_one(test, **options):
+    """Run ``test(cluster, process, request)`` with one process."""
+
+    async def main(cluster, nursery):
+        process = Process("i1", 1, cluster)
+        nursery.start_soon(process.run)
+        request = request_with(key=new_key(cluster.rng, EPOCH_MS))
+        await test(cluster, process, request)
+
+    run_cluster(1, main, **options)
+
+
+def request_with(**fields):
+    defaults = {
+        "caller_request_id": "r1",
+        "member": "tresscommon",
+        "service": "chairbook",
+        "body": b"body",
+        "deadline_ms": 300,
+    }
+    return SubmitRequest(**(defaults | fields))
+
+
+def changed(request, **fields):
+    names = ("caller_request_id", "member", "service", "key", "body", "deadline_ms")
+    return SubmitRequest(**({name: getattr(request, name) for name in names} | fields))
+
+
+async def failure(process, request):
+    with pytest.raises(RequestFailedError) as caught:
+        await process.coordinator.submit(request)
+    return caught.value
+
+
+@pytest.mark.parametrize(
+    ("fields", "error", "message"),
+    [
+        ({"member": "nobody"}, "InvalidRequestError", "not declared"),
+        ({"service": "nothing"}, "InvalidRequestError", "not declared"),
+        ({"service": "fitroom"}, "InvalidRequestError", "searches only"),
+        ({"service": "careleaf"}, "InvalidRequestError", "may not use"),
+        ({"body": b"x" * 100}, "InvalidRequestError", "at most 99"),
+        ({"deadline_ms": 0}, "InvalidRequestError", "deadline"),
+        ({"deadline_ms": 2001}, "InvalidRequestError", "deadline"),
+        ({"key": ""}, "IdempotencyError", "missing"),
+        ({"key": "x"}, "IdempotencyError", "UUIDv7"),
+        (
+            {"key": "018bcfe5-6800-4df0-b3d2-c616cb4ac8b4"},
+            "IdempotencyError",
+            "UUIDv7",
+        ),
+        ({"age_ms": DAY_MS}, "IdempotencyError", "older than"),
+        ({"age_ms": -DAY_MS}, "IdempotencyError", "ahead of the cluster"),
+        (
+            {"service": "careleaf", "member": "coulisse"},
+            "UnavailableError",
+            "no upstream",
+        ),
+    ],
+)
+def test_refusal_before_a_claim(fields, error, message):
+    # Guards against a refused request that reaches an upstream or keeps a key.
+    async def test(cluster, process, request):
+        age_ms = fields.pop("age_ms", None)
+        if age_ms is not None:
+            fields["key"] = new_key(cluster.rng, EPOCH_MS - age_ms)
+        refused = await failure(process, changed(request, **fields))
+        assert (type(refused).__name__, refused.run_state) == (error, "not_run")
+        assert message in str(refused)
+        assert cluster.upstreams.requests == []
+        assert cluster.control.state.dump()["claims"]["claims"] == 0
+        (account,) = process.accounts.report()
+        assert account.total.refusals[0].kind == error
+
+    run_one(test)
+
+
+@pytest.mark.parametrize(
+    ("script", "first", "run_state", "resend"),
+    [
+        (["run"], "SubmitAnswer", None, "replayed"),
+        (["shed", "run"], "SubmitAnswer", None, "replayed"),
+        (["shed", "shed", "shed"], "UpstreamError", "not_run", "answered"),
+        (["shed", "reset"], "UpstreamError", "unknown", "unknown"),
+        (["reset"], "UpstreamError", "unknown", "unknown"),
+        (["lost"], "UpstreamError", "unknown", "unknown"),
+        (["failed"], "UpstreamError", "ran", "ran"),
+        (["hang"], "DeadlineExceededError", "unknown", "unknown"),
+        (["bug"], "UnavailableError", "unknown", "unknown"),
+        (["crossed"], "UpstreamError", "unknown", "unknown"),
+        (["partial"], "UpstreamError", "ran", "ran"),
+        (["large"], "SubmitAnswer", None, "ran"),
+    ],
+)
+def test_outcome_and_resend(script, first, run_state, resend):
+    # Guards against a second run after a reply that was lost, and against a failure
+    # that says not_run although something may have run.
+    async def test(cluster, process, request):
+        cluster.upstreams.script = script
+        dispatches = len(script)
+        try:
+            result = await process.coordinator.submit(request)
+        except RequestFailedError as error:
+            result = error
+        assert type(result).__name__ == first
+        assert getattr(result, "run_state", None) == run_state
+        assert len(cluster.upstreams.requests) == dispatches
+        assert len({item.upstream for item in cluster.upstreams.requests}) == dispatches
+        await trio.sleep(2)
+        other = Process("i2", 1, cluster)
+        again = changed(request, caller_request_id="r2", key=request.key.upper())
+        if resend in ("replayed", "answered"):
+            answer = await other.coordinator.submit(again)
+            assert answer.replayed is (resend == "replayed")
+            assert answer.caller_request_id == "r2"
+            if answer.replayed:
+                assert (answer.upstream, answer.body) == (result.upstream, result.body)
+        else:
+            error = await failure(other, again)
+            assert (error.run_state, error.retry_after_ms) == (resend, None)
+        assert max(cluster.upstreams.runs.values(), default=0) <= 1
+
+    run_one(test)
+
+
+def test_other_body_and_parallel_resend():
+    # Guards against an answer to another body, and against a not_run for a key that
+    # another instance is running at this moment.
+    async def test(cluster, process, request):
+        other = Process("i2", 1, cluster)
+        cluster.upstreams.script = ["hang"]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(failure, process, request)
+            await trio.sleep(0.1)
+            error = await failure(other, changed(request, body=b"other"))
+            assert (type(error).__name__, error.run_state) == (
+                "IdempotencyError",
+                "not_run",
+            )
+            error = await failure(other, request)
+            assert (type(error).__name__, error.run_state) == (
+                "UnavailableError",
+                "unknown",
+            )
+            assert error.retry_after_ms
+
+    run_one(test)
+
+
+@pytest.mark.parametrize(
+    ("lease_s", "frozen_s", "error"),
+    [
+        (3, 0, None),
+        (0, 0, "LeaseExpiredError"),
+        (3, 4, "LeaseExpiredError"),
+        (9, 4, "DeadlineExceededError"),
+    ],
+)
+def test_frozen_between_claim_and_dispatch(lease_s, frozen_s, error):
+    # Guards against a process that wakes up after its lease or deadline and sends.
+    async def test(cluster, process, request):
+        process.valid_until = lease_s
+
+        async def propose(command, timeout_ms):
+            result = cluster.control.commit(command)
+            if command.kind == "claim_submit":
+                cluster.mock_clock.jump(frozen_s)
+            return result
+
+        cluster.control.propose = propose
+        if error is None:
+            await process.coordinator.submit(request)
+            return
+        refused = await failure(process, request)
+        assert (type(refused).__name__, refused.run_state) == (error, "not_run")
+        assert refused.retry_after_ms
+        await trio.sleep(1)
+        assert cluster.upstreams.requests == []
+        state = cluster.control.state
+        assert state.claim_status("tresscommon", "chairbook", request.key) is None
+
+    run_one(test)
+
+
+def test_claim_of_unknown_fate_is_freed_and_never_dispatched():
+    # Guards against a not_run that becomes false, and against a key that stays
+    # unknown although nobody ever sent it.
+    async def test(cluster, process, request):
+        cluster.control.up = False
+        late = []
+        propose = cluster.control.propose
+
+        async def keep(command, timeout_ms):
+            late.append(command)
+            return await propose(command, timeout_ms)
+
+        cluster.control.propose = keep
+        refused = await failure(process, request)
+        assert (type(refused).__name__, refused.run_state) == (
+            "UnavailableError",
+            "not_run",
+        )
+        assert len({command.claim_id for command in late}) == 1
+        cluster.control.commit(late[0])
+        cluster.control.up = True
+        await trio.sleep(2)
+        cluster.control.commit(late[0])
+        assert cluster.upstreams.requests == []
+        assert process.coordinator.dump()["records"]["waiting"] == []
+        answer = await process.coordinator.submit(request)
+        assert not answer.replayed
+
+    run_one(test)
+
+
+def test_lost_answer_to_the_claim():
+    # Guards against a resent proposal that another claim id of the same submit blocks.
+    async def test(cluster, process, request):
+        lost = iter([True])
+        propose = cluster.control.propose
+
+        async def lose_first(command, timeout_ms):
+            result = await propose(command, timeout_ms)
+            if next(lost, False):
+                await trio.sleep_forever()
+            return result
+
+        cluster.control.propose = lose_first
+        answer = await process.coordinator.submit(changed(request, deadline_ms=2000))
+        assert not answer.replayed
+
+    run_one(test)
+
+
+@pytest.mark.parametrize("outage_s", [0, 5, 30])
+@pytest.mark.parametrize("cancelled", [False, True])
+def test_outcome_is_recorded(outage_s, cancelled):
+    # Guards against a caller that goes away, or a short loss of the quorum, that
+    # leaves the outcome of a submit unknown.
+    async def test(cluster, process, request):
+        def lose_quorum():
+            cluster.control.up = outage_s == 0
+
+        dispatch = cluster.upstreams.dispatch
+
+        async def dispatch_then_outage(shard_request):
+            lose_quorum()
+            return await dispatch(shard_request)
+
+        cluster.upstreams.dispatch = dispatch_then_outage
+        with trio.move_on_after(0.01 if cancelled else 10) as scope:
+            await process.coordinator.submit(request)
+            await trio.lowlevel.checkpoint()
+        assert scope.cancelled_caught is cancelled
+        await trio.sleep(outage_s)
+        cluster.control.up = True
+        await trio.sleep(2)
+        # State machine time moves with the entries only.
+        cluster.control.state.apply("noop", b"", cluster.control.now_ms())
+        status = cluster.control.state.claim_status(
+            "tresscommon", "chairbook", request.key
+        )
+        # The bound of the fakes is 20 s, after which the record is given up.
+        assert status == ("unknown" if outage_s == 30 else "answered")
+        assert json.loads(json.dumps(process.coordinator.dump()))["records"] == {
+            "waiting": [],
+            "given_up": int(outage_s == 30),
+        }
+
+    run_one(test)
+
+
+def test_waiting_records_are_bounded():
+    # Guards against memory that grows while there is no quorum.
+    async def test(cluster, process, request):
+        cluster.control.up = False
+        recorder = process.coordinator._recorder
+        for number in range(1100):
+            record = RecordOutcome("m", "s", "k", f"c{number}", ClaimOutcome.UNKNOWN)
+            await recorder.record(record, 0)
+        assert len(recorder.dump()["waiting"]) == 1000
+
+    run_one(test)
+
+
+@pytest.mark.parametrize(
+    ("changes", "in_flight", "data_centre", "expected"),
+    [
+        ({}, {}, "dc1", "u1"),
+        ({}, {}, "dc2", "u2"),
+        ({}, {"u1": 1}, "dc1", "u3"),
+        ({}, {"u1": 1, "u3": 1}, "dc1", "u2"),
+        ({"u1": {"owner": None}}, {}, "dc1", "u3"),
+        ({"u1": {"state": UpstreamState.LEAVING}}, {}, "dc1", "u3"),
+        ({"u1": {"state": UpstreamState.COLD}}, {}, "dc1", "u3"),
+        ({"u1": {"service": "careleaf"}}, {}, "dc1", "u3"),
+        ({"dc2": "false"}, {"u1": 1, "u3": 1}, "dc2", "u1"),
+    ],
+)
+def test_choice_of_upstream(changes, in_flight, data_centre, expected):
+    # Guards against work for an upstream that must not get any.
+    async def test(cluster, process, request):
+        process.local_data_centre = data_centre
+        for name, fields in changes.items():
+            if name == "dc2":
+                process.set_file(file_text(dc2=fields))
+            else:
+                cluster.announce(name, "dc1", **fields)
+        process.coordinator._in_flight.update(in_flight)
+        answer = await process.coordinator.submit(request)
+        assert answer.upstream == expected
+        (sent,) = cluster.upstreams.requests
+        assert (sent.kind, sent.shard, sent.snapshot) == (WorkKind.SUBMIT, -1, None)
+        assert (sent.idempotency_key, sent.body) == (request.key, request.body)
+
+    run_one(test)
