Refuse more faults of the operator file and name their true lines

Cause: the lines of problems came from a search line by line, which did not know nested tables, quoted and dotted keys, arrays of inline tables or multi-line strings. Quoted numbers, 0 for a switch and an infinite share were accepted. A deeply nested file ended in RecursionError, and thousands of digits or an unterminated string at the end in no usable line; either would have stopped the voters, which parse the file while they apply the log.

Ruled out: strict mode for whole models, which refuses enumerations as text and arrays for tuples; catching RecursionError, because the depth of the stack would decide the verdict of a voter.

Conclusion: a file gets the same verdict on each voter, and its faults a line.

--- a/packages/cuminbend/src/cuminbend/config/_load.py
+++ b/packages/cuminbend/src/cuminbend/config/_load.py
@@ -2,11 +2,11 @@
 
 import re
 import tomllib
-from collections import Counter
 from collections.abc import Iterator, Sequence
 
 from pydantic import ValidationError
 
+from cuminbend.config._locate import COMMENT, STRING, KeyLocator
 from cuminbend.config._models import FileModel
 from cuminbend.config._types import (
     Configuration,
@@ -19,8 +19,20 @@
 # A file of a few thousand services is about 1 MiB; more than this is a mistake.
 MAX_FILE_BYTES = 4 * 1024 * 1024
 
-_HEADER = re.compile(r"^\s*(\[{1,2})\s*([A-Za-z0-9_.\-]+)\s*\]{1,2}")
-_KEY = re.compile(r"^\s*([A-Za-z0-9_\-]+)\s*=")
+# tomllib recurses for each level of arrays and inline tables, so without a bound it
+# would depend on the depth of the stack whether a voter accepts a file. The time it
+# takes for a dotted key grows with the square of its parts.
+MAX_NESTING = 16
+MAX_KEY_PARTS = 16
+
+_TOKEN = re.compile(rf"({COMMENT})|({STRING})|([\[{{])|([\]}}])", re.DOTALL)
+_LONG_KEY = re.compile(rf"(?:[A-Za-z0-9_\-]++[ \t]*+\.[ \t]*+){{{MAX_KEY_PARTS}}}")
+
+# Texts with a remedy for the faults that operators make most.
+_REMEDIES = {
+    "extra_forbidden": "unknown key; remove it or correct its spelling",
+    "missing": "this key is missing; add it",
+}
 
 
 def parse_configuration(text: str) -> Configuration:
@@ -32,68 +44,76 @@
     Raises:
         ConfigurationError: With one problem per fault, each naming its line.
     """
-    if len(text.encode()) > MAX_FILE_BYTES:
+    if len(text.encode(errors="surrogatepass")) > MAX_FILE_BYTES:
         raise ConfigurationError(
             [
                 f"line 1: the file is larger than {MAX_FILE_BYTES} bytes; "
                 "split it over several clusters"
             ]
         )
+    _check_shape(text)
     try:
         document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise ConfigurationError([_syntax_problem(error)]) from error
+    except ValueError as error:
+        # Besides syntax errors, int() raises ValueError for thousands of digits.
+        raise ConfigurationError([_syntax_problem(text, error)]) from error
     try:
         model = FileModel.model_validate(document)
     except ValidationError as error:
-        locator = _Locator(text)
+        locator = KeyLocator(text)
         raise ConfigurationError(
             [
                 f"line {locator.line(item['loc'])}: "
-                f"{'.'.join(str(part) for part in item['loc'])}: {item['msg']}"
-                for item in error.errors()
+                f"{'.'.join(str(part) for part in item['loc'])}: "
+                f"{_REMEDIES.get(item['type'], item['msg'])}"
+                for item in error.errors(include_url=False, include_context=False)
             ]
         ) from error
-    problems = list(_cross_check(model, _Locator(text)))
+    problems = list(_cross_check(model, KeyLocator(text)))
     if problems:
         raise ConfigurationError(problems)
     return _to_configuration(model)
 
 
-def _syntax_problem(error: tomllib.TOMLDecodeError) -> str:
+def _check_shape(text: str) -> None:
+    """Refuse a file that is too deep for the TOML parser.
+
+    Raises:
+        ConfigurationError: With the line.
+    """
+    skeleton: list[str] = []
+    depth = position = 0
+    for match in _TOKEN.finditer(text):
+        comment, string, opening, closing = match.groups()
+        skeleton.append(text[position : match.start()])
+        position = match.end()
+        if string:
+            skeleton.append("s")
+        depth += bool(opening) - bool(closing)
+        if depth > MAX_NESTING:
+            line = text.count("\n", 0, match.start()) + 1
+            raise ConfigurationError(
+                [
+                    f"line {line}: arrays and tables are nested more than "
+                    f"{MAX_NESTING} deep; no key needs that"
+                ]
+            )
+        if comment is None and string is None:
+            skeleton.append("\n")
+    skeleton.append(text[position:])
+    if _LONG_KEY.search("".join(skeleton)):
+        raise ConfigurationError(
+            [f"line 1: a key has more than {MAX_KEY_PARTS} parts; no key needs that"]
+        )
+
+
+def _syntax_problem(text: str, error: ValueError) -> str:
     match = re.search(r"at line (\d+)", str(error))
-    line = match.group(1) if match else "last"
+    line = match.group(1) if match else text.count("\n") + 1
     return f"line {line}: not valid TOML: {error}"
 
 
-class _Locator:
-    """Finds the line of a key, which tomllib does not report."""
-
-    def __init__(self, text: str) -> None:
-        self._lines: dict[tuple[str | int, ...], int] = {(): 1}
-        table: tuple[str | int, ...] = ()
-        seen: Counter[str] = Counter()
-        for number, line in enumerate(text.splitlines(), start=1):
-            if header := _HEADER.match(line):
-                name = header.group(2)
-                table = tuple(name.split("."))
-                if header.group(1) == "[[":
-                    table = (*table, seen[name])
-                    seen[name] += 1
-                self._lines.setdefault(table, number)
-            elif key := _KEY.match(line):
-                self._lines.setdefault((*table, key.group(1)), number)
-
-    def line(self, location: Sequence[str | int]) -> int:
-        """Return the line of the longest known prefix of a location."""
-        for length in range(len(location), -1, -1):
-            found = self._lines.get(tuple(location[:length]))
-            if found is not None:
-                return found
-        return 1
-
-
-def _cross_check(model: FileModel, locator: _Locator) -> Iterator[str]:
+def _cross_check(model: FileModel, locator: KeyLocator) -> Iterator[str]:
     for section in ("data_centres", "members", "services"):
         yield from _duplicates(section, getattr(model, section), locator)
     members = {member.name for member in model.members}
@@ -132,7 +152,7 @@
 
 
 def _duplicates(
-    section: str, items: Sequence[object], locator: _Locator
+    section: str, items: Sequence[object], locator: KeyLocator
 ) -> Iterator[str]:
     seen: set[str] = set()
     for index, item in enumerate(items):
