--- a/packages/cuminbend/src/cuminbend/config/_load.py
+++ b/packages/cuminbend/src/cuminbend/config/_load.py
@@ -3,6 +3,7 @@
 import re
 import tomllib
 from collections.abc import Iterator, Sequence
+from functools import lru_cache
 
 from pydantic import ValidationError
 
@@ -28,6 +29,9 @@
 _TOKEN = re.compile(rf"({COMMENT})|({STRING})|([\[{{])|([\]}}])", re.DOTALL)
 _LONG_KEY = re.compile(rf"(?:[A-Za-z0-9_\-]++[ \t]*+\.[ \t]*+){{{MAX_KEY_PARTS}}}")
 
+# Location of a fault, and its text.
+Fault = tuple[tuple[str | int, ...], str]
+
 # Texts with a remedy for the faults that operators make most.
 _REMEDIES = {
     "extra_forbidden": "unknown key; remove it or correct its spelling",
@@ -35,9 +39,13 @@
 }
 
 
+@lru_cache(maxsize=2)
 def parse_configuration(text: str) -> Configuration:
     """Parse and validate an operator file.
 
+    The last files are cached: a voter that parses a file in a worker thread when it
+    receives it does not block its event loop when it applies it.
+
     Args:
         text: The whole file.
 
@@ -69,9 +77,12 @@
                 for item in error.errors(include_url=False, include_context=False)
             ]
         ) from error
-    problems = list(_cross_check(model, KeyLocator(text)))
-    if problems:
-        raise ConfigurationError(problems)
+    faults = list(_cross_check(model))
+    if faults:
+        locator = KeyLocator(text)
+        raise ConfigurationError(
+            [f"line {locator.line(place)}: {fault}" for place, fault in faults]
+        )
     return _to_configuration(model)
 
 
@@ -113,55 +124,58 @@
     return f"line {line}: not valid TOML: {error}"
 
 
-def _cross_check(model: FileModel, locator: KeyLocator) -> Iterator[str]:
+def _cross_check(model: FileModel) -> Iterator[Fault]:
     for section in ("data_centres", "members", "services"):
-        yield from _duplicates(section, getattr(model, section), locator)
+        yield from _duplicates(section, getattr(model, section))
     members = {member.name for member in model.members}
     names = {service.name for service in model.services}
     for index, member in enumerate(model.members):
         if member.default_deadline_ms > member.max_deadline_ms:
-            line = locator.line(("members", index, "default_deadline_ms"))
+            place: tuple[str | int, ...] = ("members", index, "default_deadline_ms")
             yield (
-                f"line {line}: members.{index}: default_deadline_ms is above "
-                "max_deadline_ms; lower it or raise max_deadline_ms"
+                place,
+                f"members.{index}: default_deadline_ms is above "
+                "max_deadline_ms; lower it or raise max_deadline_ms",
             )
     partitionings: dict[str, tuple[frozenset[str], str]] = {}
     for index, service in enumerate(model.services):
         for name in service.members:
             if name not in members:
-                line = locator.line(("services", index, "members"))
+                place = ("services", index, "members")
                 yield (
-                    f"line {line}: services.{index}: member {name!r} is not declared; "
-                    "add a [[members]] table or remove the name"
+                    place,
+                    f"services.{index}: member {name!r} is not declared; "
+                    "add a [[members]] table or remove the name",
                 )
         group = service.group or service.name
         if group in names and group != service.name:
-            line = locator.line(("services", index, "group"))
+            place = ("services", index, "group")
             yield (
-                f"line {line}: services.{index}: group {group!r} is also the name of "
-                "a service; choose another group name"
+                place,
+                f"services.{index}: group {group!r} is also the name of "
+                "a service; choose another group name",
             )
         declared = (frozenset(service.shards), service.mode.value)
         first = partitionings.setdefault(group, declared)
         if first != declared:
-            line = locator.line(("services", index))
+            place = ("services", index)
             yield (
-                f"line {line}: services.{index}: all services of group {group!r} need "
-                "the same partitionings and the same mode"
+                place,
+                f"services.{index}: all services of group {group!r} need "
+                "the same partitionings and the same mode",
             )
 
 
-def _duplicates(
-    section: str, items: Sequence[object], locator: KeyLocator
-) -> Iterator[str]:
+def _duplicates(section: str, items: Sequence[object]) -> Iterator[Fault]:
     seen: set[str] = set()
     for index, item in enumerate(items):
         name = str(getattr(item, "name", ""))
         if name in seen:
-            line = locator.line((section, index, "name"))
+            place = (section, index, "name")
             yield (
-                f"line {line}: {section}.{index}: the name {name!r} stands twice; "
-                "rename or remove one"
+                place,
+                f"{section}.{index}: the name {name!r} stands twice; "
+                "rename or remove one",
             )
         seen.add(name)
 
--- a/packages/cuminbend/src/cuminbend/replicated/_claims.py
+++ b/packages/cuminbend/src/cuminbend/replicated/_claims.py
@@ -1,10 +1,14 @@
 """Claims on idempotency keys."""
 
-from collections import OrderedDict
-from dataclasses import dataclass, field
+from collections import deque
+from dataclasses import dataclass
 from heapq import heapify, heappop, heappush
+from operator import attrgetter
+from sys import intern
 from typing import Any
 
+from pydantic_core import from_json, to_json
+
 from cuminbend.replicated._commands import (
     ClaimOutcome,
     ClaimResult,
@@ -44,11 +48,26 @@
     upstream: str = ""
     body_dropped: bool = False
     ran: bool = False
-    freed: list[str] = field(default_factory=list)
-    refused: list[str] = field(default_factory=list)
+    freed: tuple[str, ...] = ()
+    refused: tuple[str, ...] = ()
 
 
 _FIELDS = tuple(_Claim.__slots__)
+_values = attrgetter(*_FIELDS)
+
+
+def _encode(scope: Scope, claim: _Claim) -> bytes:
+    return to_json((scope, _values(claim)))
+
+
+def _decode(row: bytes) -> tuple[Scope, _Claim]:
+    (member, service, key), values = from_json(row)
+    claim = _Claim(**dict(zip(_FIELDS, values, strict=True)))
+    if claim.outcome is not None:
+        claim.outcome = ClaimOutcome(claim.outcome)
+    claim.freed = tuple(claim.freed)
+    claim.refused = tuple(claim.refused)
+    return (intern(member), intern(service), key), claim
 
 
 class ClaimTable:
@@ -57,14 +76,18 @@
     ``horizon_ms`` is the greatest expiry time so far. Keys before it are refused and
     their claims dropped. It never goes back, so raising the retention does not accept
     keys whose claims were dropped under the shorter one.
+
+    A claim with an outcome is kept as its row of the snapshot: nearly all claims have
+    one, and a snapshot must not hold up the event loop of a voter for longer than an
+    election timeout.
     """
 
     def __init__(self, *, limits: StateLimits) -> None:
         self._limits = limits
         self.horizon_ms = 0.0
-        self._claims: dict[Scope, _Claim] = {}
+        self._claims: dict[Scope, _Claim | bytes] = {}
         self._by_age: list[tuple[int, Scope]] = []
-        self._bodies: OrderedDict[Scope, int] = OrderedDict()
+        self._bodies: deque[Scope] = deque()
         self._bodies_chars = 0
 
     def expire(self, horizon_ms: float) -> None:
@@ -72,8 +95,16 @@
         self.horizon_ms = max(self.horizon_ms, horizon_ms)
         while self._by_age and self._by_age[0][0] < self.horizon_ms:
             _, scope = heappop(self._by_age)
-            self._forget_body(scope)
-            del self._claims[scope]
+            entry = self._claims.pop(scope)
+            if isinstance(entry, bytes):
+                self._bodies_chars -= len(_decode(entry)[1].body)
+        # Expired scopes never come back, so an old one can stay behind a younger one.
+        while self._bodies and self._bodies[0] not in self._claims:
+            self._bodies.popleft()
+
+    def _get(self, scope: Scope) -> _Claim | None:
+        entry = self._claims.get(scope)
+        return _decode(entry)[1] if isinstance(entry, bytes) else entry
 
     def claim(self, command: ClaimSubmit, now_ms: float) -> ClaimResult | RefusedResult:
         """Grant the key to a claim, or say why not."""
@@ -86,8 +117,9 @@
             return ClaimResult(ClaimStatus.TOO_OLD)
         if created_ms > now_ms + self._limits.future_ms:
             return ClaimResult(ClaimStatus.FROM_FUTURE)
-        scope = (command.member, command.service, command.key)
-        claim = self._claims.get(scope)
+        # Few names stand in very many claims.
+        scope = (intern(command.member), intern(command.service), command.key)
+        claim = self._get(scope)
         if claim is None:
             if len(self._claims) >= self._limits.claims:
                 return RefusedResult("the table of claims is full; try again later")
@@ -103,9 +135,9 @@
         if claim.holder == command.claim_id and claim.outcome is None:
             return ClaimResult(ClaimStatus.GRANTED, command.claim_id)
         if claim.holder:
-            if claim.holder != command.claim_id:
-                claim.refused.append(command.claim_id)
-                del claim.refused[: -self._limits.refused_ids]
+            if claim.outcome is None and claim.holder != command.claim_id:
+                refused = (*claim.refused, command.claim_id)
+                claim.refused = refused[-self._limits.refused_ids :]
             return self._standing(claim, now_ms)
         if command.claim_id in claim.freed or command.claim_id in claim.refused:
             return ClaimResult(ClaimStatus.IN_PROGRESS)
@@ -115,7 +147,7 @@
                 "use a new key"
             )
         claim.holder = command.claim_id
-        claim.instance = command.instance
+        claim.instance = intern(command.instance)
         claim.claimed_at_ms = now_ms
         return ClaimResult(ClaimStatus.GRANTED, command.claim_id)
 
@@ -139,7 +171,7 @@
         The first outcome stands: a delayed duplicate changes nothing.
         """
         scope = (command.member, command.service, command.key)
-        claim = self._claims.get(scope)
+        claim = self._get(scope)
         if (
             claim is None
             or not command.claim_id
@@ -148,14 +180,15 @@
         ):
             return RecordResult(False)
         if command.outcome is ClaimOutcome.NOT_RUN:
-            claim.freed.append(claim.holder)
+            claim.freed = (*claim.freed, claim.holder)
             claim.holder = claim.instance = ""
             return RecordResult(True)
         claim.outcome = command.outcome
-        claim.upstream = command.upstream
+        claim.upstream = intern(command.upstream)
         claim.ran = command.ran or command.outcome is ClaimOutcome.ANSWERED
         if command.outcome is ClaimOutcome.ANSWERED:
             self._keep_body(scope, claim, command)
+        self._claims[scope] = _encode(scope, claim)
         return RecordResult(True)
 
     def _keep_body(self, scope: Scope, claim: _Claim, command: RecordOutcome) -> None:
@@ -166,61 +199,71 @@
         claim.body = body
         if not body:
             return
-        self._bodies[scope] = len(body)
+        self._bodies.append(scope)
         self._bodies_chars += len(body)
         while self._bodies_chars > self._limits.bodies_chars:
-            oldest = next(iter(self._bodies))
-            self._forget_body(oldest)
-            self._claims[oldest].body = ""
-            self._claims[oldest].body_dropped = True
+            self._drop_body(self._bodies.popleft())
 
-    def _forget_body(self, scope: Scope) -> None:
-        self._bodies_chars -= self._bodies.pop(scope, 0)
+    def _drop_body(self, scope: Scope) -> None:
+        claim = self._get(scope)
+        if claim is None:
+            return
+        self._bodies_chars -= len(claim.body)
+        claim.body = ""
+        claim.body_dropped = True
+        if isinstance(self._claims[scope], bytes):
+            self._claims[scope] = _encode(scope, claim)
 
     def status(
         self, member: str, service: str, key: str, now_ms: float
     ) -> ClaimStatus | None:
         """Return what another claim of the key would get, or None if it is free."""
-        claim = self._claims.get((member, service, key))
+        claim = self._get((member, service, key))
         if claim is None or not claim.holder:
             return None
         return self._standing(claim, now_ms).status
 
     def snapshot(self) -> dict[str, Any]:
-        """Return the table as JSON values."""
+        """Return the table without its claims as JSON values."""
         return {
             "horizon_ms": self.horizon_ms,
-            "claims": [
-                [*scope, *(getattr(claim, name) for name in _FIELDS)]
-                for scope, claim in self._claims.items()
-            ],
-            "bodies": list(self._bodies),
+            "claims": len(self._claims),
+            "bodies": [scope for scope in self._bodies if scope in self._claims],
         }
 
-    def restore(self, data: dict[str, Any]) -> None:
-        """Replace the table by one that :meth:`snapshot` returned."""
+    def rows(self) -> list[bytes]:
+        """Return each claim as one line of JSON."""
+        return [
+            entry if isinstance(entry, bytes) else _encode(scope, entry)
+            for scope, entry in self._claims.items()
+        ]
+
+    def restore(self, data: dict[str, Any], rows: list[bytes]) -> None:
+        """Replace the table by one that :meth:`snapshot` and :meth:`rows` returned.
+
+        Raises:
+            ValueError: If rows are missing.
+        """
+        if len(rows) != data["claims"]:
+            raise ValueError(f"{len(rows)} claims instead of {data['claims']}")
         self.horizon_ms = data["horizon_ms"]
         self._claims = {}
-        for member, service, key, *values in data["claims"]:
-            claim = _Claim(**dict(zip(_FIELDS, values, strict=True)))
-            if claim.outcome is not None:
-                claim.outcome = ClaimOutcome(claim.outcome)
-            self._claims[(member, service, key)] = claim
+        self._bodies_chars = 0
+        for row in rows:
+            scope, claim = _decode(row)
+            self._bodies_chars += len(claim.body)
+            self._claims[scope] = claim if claim.outcome is None else row
         self._by_age = [(key_time_ms(scope[2]) or 0, scope) for scope in self._claims]
         heapify(self._by_age)
-        self._bodies = OrderedDict()
-        for member, service, key in data["bodies"]:
-            scope = (member, service, key)
-            self._bodies[scope] = len(self._claims[scope].body)
-        self._bodies_chars = sum(self._bodies.values())
+        self._bodies = deque((m, s, k) for m, s, k in data["bodies"])
 
     def dump(self) -> dict[str, Any]:
         """Return counts for a state dump."""
         return {
             "claims": len(self._claims),
             "in_progress": sum(
-                bool(claim.holder) and claim.outcome is None
-                for claim in self._claims.values()
+                not isinstance(entry, bytes) and bool(entry.holder)
+                for entry in self._claims.values()
             ),
             "bodies_chars": self._bodies_chars,
             "horizon_ms": self.horizon_ms,
--- a/packages/cuminbend/src/cuminbend/replicated/_configurations.py
+++ b/packages/cuminbend/src/cuminbend/replicated/_configurations.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 from dataclasses import asdict
 from datetime import UTC, datetime
+from operator import attrgetter
 from typing import Any
 
 from cuminbend.config import Configuration, parse_configuration
@@ -19,9 +20,15 @@
 
 _MAX_APPLY_ID_CHARS = 200
 
+_verdict = attrgetter("accepted", "version", "version_in_force", "problems")
+
 
 class ConfigurationTable:
-    """The file in force, its predecessors, and the verdict on each apply."""
+    """The file in force, its predecessors, and the verdict on each apply.
+
+    Problems of refused files contain texts of the TOML parser and of pydantic, so
+    voters with different versions of them may word a refusal differently.
+    """
 
     def __init__(self, *, limits: StateLimits) -> None:
         self._limits = limits
@@ -98,7 +105,7 @@
             "summaries": [asdict(item) for item in self.summaries],
             "texts": list(self._texts.items()),
             "verdicts": [
-                [apply_id, digest, asdict(result)]
+                (apply_id, digest, _verdict(result))
                 for apply_id, (digest, result) in self._verdicts.items()
             ],
         }
@@ -111,6 +118,8 @@
         self.text = self._texts.get(self.version, "")
         self.configuration = parse_configuration(self.text) if self.version else None
         self._verdicts = OrderedDict()
-        for apply_id, digest, result in data["verdicts"]:
-            result["problems"] = tuple(result["problems"])
-            self._verdicts[apply_id] = (digest, ApplyResult(**result))
+        for apply_id, digest, (accepted, version, in_force, problems) in data[
+            "verdicts"
+        ]:
+            result = ApplyResult(accepted, version, in_force, tuple(problems))
+            self._verdicts[apply_id] = (digest, result)
--- a/packages/cuminbend/src/cuminbend/replicated/_limits.py
+++ b/packages/cuminbend/src/cuminbend/replicated/_limits.py
@@ -22,7 +22,8 @@
             to others. Longer than the request budget (2000) plus a lease (3000), so
             that its holder can no longer be waiting for the reply.
         claims: Claims kept. A claim in excess is refused, because dropping a claim
-            before its key expires would let the key run again.
+            before its key expires would let the key run again. A claim takes about
+            0.8 KB, so a full table stays below the 256 MB that a node has for control.
         freed_ids: Times a key can be freed; each freed claim id is kept until the
             key expires, so the count needs a bound.
         refused_ids: Refused claim ids kept per key, oldest dropped first.
@@ -39,7 +40,7 @@
     problems: int = 20
     future_ms: int = 60_000
     in_progress_ms: int = 10_000
-    claims: int = 1_000_000
+    claims: int = 200_000
     freed_ids: int = 64
     refused_ids: int = 16
     body_chars: int = 16 * 1024
--- a/packages/cuminbend/src/cuminbend/replicated/_state.py
+++ b/packages/cuminbend/src/cuminbend/replicated/_state.py
@@ -1,12 +1,12 @@
 """The state machine that every voter drives with the same log."""
 
-import json
 import math
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
 from pydantic import ValidationError
+from pydantic_core import from_json, to_json
 
 from cuminbend.config import Configuration
 from cuminbend.exceptions import ConfigurationError, CorruptDataError
@@ -147,16 +147,16 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state; equal states give equal bytes."""
-        return json.dumps(
+        header = to_json(
             {
                 "level": LEVEL,
                 "now_ms": self._now_ms,
                 "configurations": self._configurations.snapshot(),
                 "claims": self._claims.snapshot(),
                 "suspects": self._suspects.snapshot(),
-            },
-            separators=(",", ":"),
-        ).encode()
+            }
+        )
+        return b"\n".join([header, *self._claims.rows()])
 
     def restore(self, data: bytes) -> None:
         """Replace the state by one that :meth:`snapshot` returned.
@@ -166,13 +166,14 @@
         """
         before = self.version
         try:
-            content = json.loads(data)
+            header, *rows = data.split(b"\n")
+            content = from_json(header)
             if content["level"] > LEVEL:
                 raise CorruptDataError(
                     f"the snapshot has level {content['level']} and this version knows "
                     f"{LEVEL}; upgrade this instance"
                 )
-            self._load(content)
+            self._load(content, rows)
         except (ValueError, KeyError, TypeError, ConfigurationError) as error:
             raise CorruptDataError(
                 "the snapshot of the control state cannot be read; move the data "
@@ -181,12 +182,12 @@
         if self.version != before:
             self._notify()
 
-    def _load(self, content: dict[str, Any]) -> None:
+    def _load(self, content: dict[str, Any], rows: list[bytes]) -> None:
         """Replace the tables, all of them or none."""
         configurations = ConfigurationTable(limits=self._limits)
         configurations.restore(content["configurations"])
         claims = ClaimTable(limits=self._limits)
-        claims.restore(content["claims"])
+        claims.restore(content["claims"], rows)
         suspects = SuspectTable(limits=self._limits)
         suspects.restore(content["suspects"])
         self._now_ms = content["now_ms"]
--- a/packages/cuminbend/src/cuminbend/replicated/tests/test_claims.py
+++ b/packages/cuminbend/src/cuminbend/replicated/tests/test_claims.py
@@ -168,13 +168,14 @@
         (["123456789"], [("", True)]),
         (["1234567", "12345"], [("1234567", False), ("12345", False)]),
         (["1234567", "123456"], [("", True), ("123456", False)]),
+        (["12345", "1234", "1234"], [("", True), ("1234", False), ("1234", False)]),
         (["", "12345678", "12345678"], [("", False), ("", True), ("12345678", False)]),
     ],
 )
 def test_large_bodies_are_dropped_to_a_marker(bodies, expected):
     # Guards against unbounded memory, and against half a reply passed off as whole.
     machine = Machine(SMALL)
-    keys = [key_at(NOW_MS, number) for number in range(len(bodies))]
+    keys = [key_at(NOW_MS, 9 - number) for number in range(len(bodies))]
     for key, body in zip(keys, bodies, strict=True):
         machine(claim("c1", key=key))
         machine(outcome("c1", key=key, body=body, upstream="u1"))
--- a/packages/cuminbend/src/cuminbend/replicated/tests/test_state.py
+++ b/packages/cuminbend/src/cuminbend/replicated/tests/test_state.py
@@ -95,6 +95,15 @@
     assert machine.state.snapshot() == before
 
 
+def test_restore_refuses_a_truncated_snapshot():
+    # Guards against keys that can run again because their claims were cut off.
+    machine = Machine()
+    machine(claim("c1"))
+    header, _, _ = machine.state.snapshot().partition(b"\n")
+    with pytest.raises(CorruptDataError):
+        machine.state.restore(header)
+
+
 def test_dump_is_json():
     # Guards against a state dump that cannot be printed.
     machine = Machine()
--- a/packages/cuminbend/src/cuminbend/submit/tests/test_coordinator.py
+++ b/packages/cuminbend/src/cuminbend/submit/tests/test_coordinator.py
@@ -204,7 +204,8 @@
     run_one(test)
 
 
-def test_claim_of_unknown_fate_is_freed_and_never_dispatched():
+@pytest.mark.parametrize("lands_before", [False, True])
+def test_claim_of_unknown_fate_is_freed_and_never_dispatched(lands_before):
     # Guards against a not_run that becomes false, and against a key that stays
     # unknown although nobody ever sent it.
     async def test(cluster, process, request):
@@ -223,7 +224,8 @@
             "not_run",
         )
         assert len({command.claim_id for command in late}) == 1
-        cluster.control.commit(late[0])
+        if lands_before:
+            cluster.control.commit(late[0])
         cluster.control.up = True
         await trio.sleep(2)
         cluster.control.commit(late[0])
