Check the configuration before sending, keep sets of suspects between changes

Cause: a submit claimed under one configuration was sent under a later one that had removed its service. An unexpected error of the control port while the outcome was recorded would have lost a reply already received. Each command walked over up to 10,000 suspects, and each poll built the quarantine anew.

Change: the service is checked again before each sending; any failure of a proposal counts as unknown; unresolved runs have an index by age, and both sets of fingerprints are kept until a change.

--- a/packages/cuminbend/src/cuminbend/replicated/_suspects.py
+++ b/packages/cuminbend/src/cuminbend/replicated/_suspects.py
@@ -38,32 +38,43 @@
     def quarantined(self) -> bool:
         return self.crashes >= _QUARANTINE_CRASHES
 
-    def count(self) -> None:
-        self.crashes += 1
-        self.run_id = ""
-
 
 _FIELDS = tuple(_Suspect.__slots__)
 
 
 class SuspectTable:
-    """Suspects and quarantined fingerprints, oldest first."""
+    """Suspects and quarantined fingerprints, oldest first.
+
+    Each poll of an instance reads both sets, so they are kept until a change.
+    """
 
     def __init__(self, *, limits: StateLimits) -> None:
         self._limits = limits
         self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
+        self._runs: OrderedDict[str, None] = OrderedDict()
+        self._quarantined: frozenset[str] | None = None
+        self._suspected: dict[str, str] | None = None
 
     def expire_runs(self, now_ms: float) -> None:
         """Count each run that was not resolved in time as a crash.
 
         The instance that ran it may have been lost together with the upstream.
         """
-        for suspect in self._suspects.values():
-            if (
-                suspect.run_id
-                and now_ms - suspect.run_at_ms > self._limits.suspect_run_ms
-            ):
-                suspect.count()
+        while self._runs:
+            oldest = next(iter(self._runs))
+            suspect = self._suspects[oldest]
+            if now_ms - suspect.run_at_ms <= self._limits.suspect_run_ms:
+                break
+            self._count(oldest, suspect)
+
+    def _count(self, fingerprint: str, suspect: _Suspect) -> None:
+        suspect.crashes += 1
+        suspect.run_id = ""
+        self._runs.pop(fingerprint, None)
+        self._changed()
+
+    def _changed(self) -> None:
+        self._quarantined = self._suspected = None
 
     def record(self, command: RecordCrash) -> CrashResult:
         """Count a crash once per upstream and incarnation.
@@ -75,7 +86,8 @@
         if suspect is None:
             suspect = self._suspects[command.fingerprint] = _Suspect()
             while len(self._suspects) > self._limits.suspects:
-                self._suspects.popitem(last=False)
+                dropped, _ = self._suspects.popitem(last=False)
+                self._runs.pop(dropped, None)
         crash = (command.upstream, command.incarnation)
         of_run = (
             command.alone
@@ -84,9 +96,9 @@
         )
         if crash not in suspect.broken:
             suspect.broken.append(crash)
-            suspect.count()
+            self._count(command.fingerprint, suspect)
         elif of_run:
-            suspect.count()
+            self._count(command.fingerprint, suspect)
         return CrashResult(suspect.crashes, suspect.quarantined)
 
     def claim_run(self, command: ClaimSuspectRun, now_ms: float) -> CrashResult:
@@ -97,7 +109,8 @@
         suspect = self._suspects.get(command.fingerprint)
         if suspect is None:
             return CrashResult(0, False)
-        if not suspect.quarantined and not suspect.run_id:
+        if command.claim_id and not suspect.quarantined and not suspect.run_id:
+            self._runs[command.fingerprint] = None
             suspect.run_id = command.claim_id
             suspect.run_upstream = command.upstream
             suspect.run_at_ms = now_ms
@@ -114,24 +127,30 @@
             return CrashResult(0, False)
         if suspect.run_id and command.claim_id in ("", suspect.run_id):
             del self._suspects[command.fingerprint]
+            del self._runs[command.fingerprint]
+            self._changed()
             return CrashResult(0, False)
         return CrashResult(suspect.crashes, suspect.quarantined)
 
     @property
     def quarantined(self) -> frozenset[str]:
         """Fingerprints refused everywhere."""
-        return frozenset(
-            name for name, item in self._suspects.items() if item.quarantined
-        )
+        if self._quarantined is None:
+            self._quarantined = frozenset(
+                name for name, item in self._suspects.items() if item.quarantined
+            )
+        return self._quarantined
 
     @property
     def suspects(self) -> dict[str, str]:
         """Fingerprints that broke one upstream, with its name."""
-        return {
-            name: item.broken[0][0]
-            for name, item in self._suspects.items()
-            if not item.quarantined
-        }
+        if self._suspected is None:
+            self._suspected = {
+                name: item.broken[0][0]
+                for name, item in self._suspects.items()
+                if not item.quarantined
+            }
+        return self._suspected
 
     def snapshot(self) -> list[Any]:
         """Return the table as JSON values."""
@@ -147,3 +166,6 @@
             suspect = _Suspect(**dict(zip(_FIELDS, values, strict=True)))
             suspect.broken = [(upstream, inc) for upstream, inc in suspect.broken]
             self._suspects[name] = suspect
+        by_age = sorted(self._suspects.items(), key=lambda item: item[1].run_at_ms)
+        self._runs = OrderedDict((name, None) for name, item in by_age if item.run_id)
+        self._changed()
--- a/packages/cuminbend/src/cuminbend/submit/_coordinator.py
+++ b/packages/cuminbend/src/cuminbend/submit/_coordinator.py
@@ -3,6 +3,7 @@
 import base64
 import hashlib
 from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass
 from itertools import count
 from typing import Any
@@ -11,6 +12,7 @@
 import anyio.lowlevel
 
 from cuminbend.accounts import MemberAccounts
+from cuminbend.config import Configuration
 from cuminbend.exceptions import (
     DeadlineExceededError,
     IdempotencyError,
@@ -21,7 +23,7 @@
     UpstreamError,
     UpstreamErrorKind,
 )
-from cuminbend.messages import ShardReply, ShardRequest, WorkKind
+from cuminbend.messages import ShardReply, ShardRequest, UpstreamRecord, WorkKind
 from cuminbend.ports import Clock, ControlPort, RandomSource, ShardDispatcher, ms
 from cuminbend.replicated import (
     ClaimOutcome,
@@ -139,10 +141,7 @@
         return answer
 
     def _accept(self, request: SubmitRequest, started_ms: float) -> _Submit:
-        retry_after_ms = self._settings.retry_after_ms
-        configuration = check_configuration(
-            self._view.configuration, retry_after_ms=retry_after_ms
-        )
+        configuration = self._configuration()
         check_service(request, configuration)
         deadline_ms = check_deadline_ms(request, configuration)
         key = check_key(request.key)
@@ -206,7 +205,8 @@
         """Send a claimed submit to one upstream after another until one runs it.
 
         Time has passed since the claim was proposed, and the process may have been
-        frozen meanwhile, so lease and deadline are checked before each sending.
+        frozen meanwhile, so lease, deadline and the configuration in force are checked
+        before each sending.
         """
         tried: list[str] = []
         error: RequestFailedError
@@ -215,6 +215,7 @@
             try:
                 self._check_lease()
                 self._check_deadline(submit)
+                check_service(submit.request, self._configuration())
             except RequestFailedError as refusal:
                 last = refusal
                 break
@@ -373,9 +374,16 @@
             run_state=RunState.RAN if ran else RunState.UNKNOWN,
         )
 
-    def _choose(self, service: str, tried: list[str] | None = None) -> Any:
+    def _configuration(self) -> Configuration:
+        return check_configuration(
+            self._view.configuration, retry_after_ms=self._settings.retry_after_ms
+        )
+
+    def _choose(
+        self, service: str, tried: Collection[str] = ()
+    ) -> UpstreamRecord | None:
         return choose_upstream(
-            self._view, service, in_flight=self._in_flight, tried=tried or ()
+            self._view, service, in_flight=self._in_flight, tried=tried
         )
 
     def _no_upstream(self, service: str) -> UnavailableError:
--- a/packages/cuminbend/src/cuminbend/submit/_recorder.py
+++ b/packages/cuminbend/src/cuminbend/submit/_recorder.py
@@ -7,7 +7,6 @@
 
 import anyio
 
-from cuminbend.exceptions import CuminbendError
 from cuminbend.ports import Clock, ControlPort, RandomSource, ms
 from cuminbend.replicated import (
     ClaimOutcome,
@@ -65,7 +64,7 @@
         with anyio.move_on_after(timeout_ms / 1000):
             try:
                 return await self._control.propose(command, timeout_ms)
-            except CuminbendError as error:
+            except Exception as error:  # a reply already received must not be lost
                 _LOGGER.info(
                     "event=proposal_failed command=%s error=%s",
                     command.kind,
--- a/packages/cuminbend/src/cuminbend/submit/tests/test_coordinator.py
+++ b/packages/cuminbend/src/cuminbend/submit/tests/test_coordinator.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from cuminbend.exceptions import RequestFailedError
+from cuminbend.exceptions import NoQuorumError, RequestFailedError
 from cuminbend.messages import UpstreamState, WorkKind
 from cuminbend.replicated import ClaimOutcome, RecordOutcome
 from cuminbend.submit import SubmitRequest
@@ -204,6 +204,26 @@
     run_one(test)
 
 
+def test_configuration_changed_after_the_claim():
+    # Guards against a submit sent to a service that an accepted file has removed.
+    async def test(cluster, process, request):
+        propose = cluster.control.propose
+
+        async def propose_then_change(command, timeout_ms):
+            process.set_file(file_text().replace('"chairbook"', '"other"'))
+            return await propose(command, timeout_ms)
+
+        cluster.control.propose = propose_then_change
+        refused = await failure(process, request)
+        assert (type(refused).__name__, refused.run_state) == (
+            "InvalidRequestError",
+            "not_run",
+        )
+        assert cluster.upstreams.requests == []
+
+    run_one(test)
+
+
 @pytest.mark.parametrize("lands_before", [False, True])
 def test_claim_of_unknown_fate_is_freed_and_never_dispatched(lands_before):
     # Guards against a not_run that becomes false, and against a key that stays
@@ -237,15 +257,20 @@
     run_one(test)
 
 
-def test_lost_answer_to_the_claim():
-    # Guards against a resent proposal that another claim id of the same submit blocks.
+@pytest.mark.parametrize("kind", ["claim_submit", "record_outcome"])
+@pytest.mark.parametrize("error", [None, NoQuorumError("lost"), ValueError("a fault")])
+def test_lost_answer_of_the_control_log(kind, error):
+    # Guards against a resent proposal that another claim id of the same submit blocks,
+    # and against a reply that is lost because its record failed.
     async def test(cluster, process, request):
         lost = iter([True])
         propose = cluster.control.propose
 
         async def lose_first(command, timeout_ms):
             result = await propose(command, timeout_ms)
-            if next(lost, False):
+            if command.kind == kind and next(lost, False):
+                if error:
+                    raise error
                 await trio.sleep_forever()
             return result
 
