--- a/packages/cuminbend/src/cuminbend/replicated/_state.py
+++ b/packages/cuminbend/src/cuminbend/replicated/_state.py
@@ -35,9 +35,10 @@
 
 __all__ = ["ReplicatedState"]
 
-# Set of commands and rules that this code executes. A version that adds a kind or
-# changes a rule, including a rule of the operator file, has to raise the level with a
-# command of its own once all voters run it, and keep to the former rules until then.
+# Set of commands and rules that this code executes. A version that adds a kind, a value
+# or a field with an effect, or changes a rule, including one of the operator file, has
+# to raise the level with a command of its own once all voters run it, and keep to the
+# former rules until then.
 LEVEL = 1
 
 DEFAULT_RETENTION_MS = 86_400_000
--- a/packages/cuminbend/src/cuminbend/replicated/tests/test_suspects.py
+++ b/packages/cuminbend/src/cuminbend/replicated/tests/test_suspects.py
@@ -22,12 +22,7 @@
         ([crash(), run("")], 1, False, False),
         ([crash(), run("r1"), crash(upstream="u2", alone=True)], 2, True, False),
         # The run may break the connection to the same upstream again.
-        (
-            [crash(), run("r1", upstream="u1"), crash(alone=True)],
-            2,
-            True,
-            False,
-        ),
+        ([crash(), run("r1", upstream="u1"), crash(alone=True)], 2, True, False),
         ([crash(), run("r1"), crash(upstream="u2", alone=True), run("r1")], 2, 1, 0),
         # A suspect that was answered starts afresh; a quarantine stays.
         ([crash(), run("r1"), clear()], 0, False, False),
--- a/packages/cuminbend/src/cuminbend/submit/tests/test_coordinator.py
+++ b/packages/cuminbend/src/cuminbend/submit/tests/test_coordinator.py
@@ -1,6 +1,7 @@
 """Tests of single submits."""
 
 import json
+from dataclasses import replace
 
 import pytest
 import trio
@@ -26,28 +27,13 @@
     async def main(cluster, nursery):
         process = Process("i1", 1, cluster)
         nursery.start_soon(process.run)
-        request = request_with(key=new_key(cluster.rng, EPOCH_MS))
+        key = new_key(cluster.rng, EPOCH_MS)
+        request = SubmitRequest("r1", "tresscommon", "chairbook", key, b"body", 300)
         await test(cluster, process, request)
 
     run_cluster(1, main, **options)
 
 
-def request_with(**fields):
-    defaults = {
-        "caller_request_id": "r1",
-        "member": "tresscommon",
-        "service": "chairbook",
-        "body": b"body",
-        "deadline_ms": 300,
-    }
-    return SubmitRequest(**(defaults | fields))
-
-
-def changed(request, **fields):
-    names = ("caller_request_id", "member", "service", "key", "body", "deadline_ms")
-    return SubmitRequest(**({name: getattr(request, name) for name in names} | fields))
-
-
 async def failure(process, request):
     with pytest.raises(RequestFailedError) as caught:
         await process.coordinator.submit(request)
@@ -66,11 +52,7 @@
         ({"deadline_ms": 2001}, "InvalidRequestError", "deadline"),
         ({"key": ""}, "IdempotencyError", "missing"),
         ({"key": "x"}, "IdempotencyError", "UUIDv7"),
-        (
-            {"key": "018bcfe5-6800-4df0-b3d2-c616cb4ac8b4"},
-            "IdempotencyError",
-            "UUIDv7",
-        ),
+        ({"key": "018bcfe5-6800-4df0-b3d2-c616cb4ac8b4"}, "IdempotencyError", "UUIDv7"),
         ({"age_ms": DAY_MS}, "IdempotencyError", "older than"),
         ({"age_ms": -DAY_MS}, "IdempotencyError", "ahead of the cluster"),
         (
@@ -83,10 +65,10 @@
 def test_refusal_before_a_claim(fields, error, message):
     # Guards against a refused request that reaches an upstream or keeps a key.
     async def test(cluster, process, request):
-        age_ms = fields.pop("age_ms", None)
-        if age_ms is not None:
-            fields["key"] = new_key(cluster.rng, EPOCH_MS - age_ms)
-        refused = await failure(process, changed(request, **fields))
+        changes = dict(fields)
+        if "age_ms" in changes:
+            changes["key"] = new_key(cluster.rng, EPOCH_MS - changes.pop("age_ms"))
+        refused = await failure(process, replace(request, **changes))
         assert (type(refused).__name__, refused.run_state) == (error, "not_run")
         assert message in str(refused)
         assert cluster.upstreams.requests == []
@@ -130,7 +112,7 @@
         assert len({item.upstream for item in cluster.upstreams.requests}) == dispatches
         await trio.sleep(2)
         other = Process("i2", 1, cluster)
-        again = changed(request, caller_request_id="r2", key=request.key.upper())
+        again = replace(request, caller_request_id="r2", key=request.key.upper())
         if resend in ("replayed", "answered"):
             answer = await other.coordinator.submit(again)
             assert answer.replayed is (resend == "replayed")
@@ -154,7 +136,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(failure, process, request)
             await trio.sleep(0.1)
-            error = await failure(other, changed(request, body=b"other"))
+            error = await failure(other, replace(request, body=b"other"))
             assert (type(error).__name__, error.run_state) == (
                 "IdempotencyError",
                 "not_run",
@@ -275,7 +257,7 @@
             return result
 
         cluster.control.propose = lose_first
-        answer = await process.coordinator.submit(changed(request, deadline_ms=2000))
+        answer = await process.coordinator.submit(replace(request, deadline_ms=2000))
         assert not answer.replayed
 
     run_one(test)
