--- a/packages/cuminbend/src/cuminbend/replicated/_state.py
+++ b/packages/cuminbend/src/cuminbend/replicated/_state.py
@@ -1,15 +1,15 @@
 """The state machine that every voter drives with the same log."""
 
-import json
 import math
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
 from pydantic import ValidationError
+from pydantic_core import from_json, to_json
 
 from cuminbend.config import Configuration
-from cuminbend.exceptions import CorruptDataError
+from cuminbend.exceptions import ConfigurationError, CorruptDataError
 from cuminbend.replicated._claims import ClaimTable
 from cuminbend.replicated._commands import (
     ApplyConfiguration,
@@ -35,9 +35,10 @@
 
 __all__ = ["ReplicatedState"]
 
-# Set of commands and rules that this code executes. A version that adds a kind or
-# changes a rule, including a rule of the operator file, has to raise the level with a
-# command of its own once all voters run it, and keep to the former rules until then.
+# Set of commands and rules that this code executes. A version that adds a kind, a value
+# or a field with an effect, or changes a rule, including one of the operator file, has
+# to raise the level with a command of its own once all voters run it, and keep to the
+# former rules until then.
 LEVEL = 1
 
 DEFAULT_RETENTION_MS = 86_400_000
@@ -60,12 +61,12 @@
     """
 
     def __init__(self, *, limits: StateLimits | None = None) -> None:
-        limits = limits or StateLimits()
+        self._limits = limits or StateLimits()
         self.on_configuration: Callable[[], None] | None = None
         self._now_ms = 0.0
-        self._configurations = ConfigurationTable(limits=limits)
-        self._claims = ClaimTable(limits=limits)
-        self._suspects = SuspectTable(limits=limits)
+        self._configurations = ConfigurationTable(limits=self._limits)
+        self._claims = ClaimTable(limits=self._limits)
+        self._suspects = SuspectTable(limits=self._limits)
 
     def apply(self, kind: str, data: bytes, at_ms: float) -> bytes:
         """Apply one entry of the log.
@@ -147,16 +148,16 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state; equal states give equal bytes."""
-        return json.dumps(
+        header = to_json(
             {
                 "level": LEVEL,
                 "now_ms": self._now_ms,
                 "configurations": self._configurations.snapshot(),
                 "claims": self._claims.snapshot(),
                 "suspects": self._suspects.snapshot(),
-            },
-            separators=(",", ":"),
-        ).encode()
+            }
+        )
+        return b"\n".join([header, *self._claims.rows()])
 
     def restore(self, data: bytes) -> None:
         """Replace the state by one that :meth:`snapshot` returned.
@@ -166,25 +167,35 @@
         """
         before = self.version
         try:
-            content = json.loads(data)
-            level = content["level"]
-        except (ValueError, KeyError, TypeError) as error:
+            header, *rows = data.split(b"\n")
+            content = from_json(header)
+            if content["level"] > LEVEL:
+                raise CorruptDataError(
+                    f"the snapshot has level {content['level']} and this version knows "
+                    f"{LEVEL}; upgrade this instance"
+                )
+            self._load(content, rows)
+        except (ValueError, KeyError, TypeError, ConfigurationError) as error:
             raise CorruptDataError(
                 "the snapshot of the control state cannot be read; move the data "
                 "folder aside and let the voter rejoin with an empty one"
             ) from error
-        if level > LEVEL:
-            raise CorruptDataError(
-                f"the snapshot has level {level} and this version knows {LEVEL}; "
-                "upgrade this instance"
-            )
-        self._now_ms = content["now_ms"]
-        self._configurations.restore(content["configurations"])
-        self._claims.restore(content["claims"])
-        self._suspects.restore(content["suspects"])
         if self.version != before:
             self._notify()
 
+    def _load(self, content: dict[str, Any], rows: list[bytes]) -> None:
+        """Replace the tables, all of them or none."""
+        configurations = ConfigurationTable(limits=self._limits)
+        configurations.restore(content["configurations"])
+        claims = ClaimTable(limits=self._limits)
+        claims.restore(content["claims"], rows)
+        suspects = SuspectTable(limits=self._limits)
+        suspects.restore(content["suspects"])
+        self._now_ms = content["now_ms"]
+        self._configurations = configurations
+        self._claims = claims
+        self._suspects = suspects
+
     @property
     def now_ms(self) -> float:
         """State machine time: the greatest leader time so far, in ms."""
