--- a/packages/cuminbend/src/cuminbend/consensus/_election.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_election.py
@@ -83,10 +83,15 @@
 async def _request_vote(
     core: ReplicaCore, instance: str, request: VoteRequest
 ) -> VoteReply | None:
+    settings = core.settings
+    # A vote takes a write, and a slow disk must not make elections impossible.
+    timeout_ms = (
+        settings.rpc_timeout_ms
+        if request.pre_vote
+        else settings.election_timeout_min_ms
+    )
     try:
-        reply = await core.transport.call(
-            instance, request, core.settings.rpc_timeout_ms
-        )
+        reply = await core.transport.call(instance, request, timeout_ms)
     except CuminbendError:
         return None
     return reply if isinstance(reply, VoteReply) else None
--- a/packages/cuminbend/src/cuminbend/consensus/_leadership.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_leadership.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 
@@ -309,14 +310,10 @@
                     peer.instance,
                     error,
                 )
-                await core.clock.sleep(
-                    timedelta(milliseconds=core.settings.heartbeat_ms)
-                )
+                await core.clock.sleep(ms(core.settings.heartbeat_ms))
                 continue
             if not progress:
-                await core.clock.sleep(
-                    timedelta(milliseconds=core.settings.heartbeat_ms)
-                )
+                await core.clock.sleep(ms(core.settings.heartbeat_ms))
             else:
                 await core.wait_until(
                     lambda: peer.next_index <= self._storage.last_index,
@@ -330,16 +327,12 @@
         if prev_term is None or peer.next_index < self._storage.first_index:
             return await self._send_snapshot(peer)
         core = self._core
-        peer.round += 1
-        request = AppendRequest(
-            term=self.term,
-            leader=core.settings.instance,
-            prev_index=prev_index,
-            prev_term=prev_term,
+        request = self._append_request(
+            peer,
+            prev_index,
+            prev_term,
             entries=self._next_entries(peer),
             commit_index=core.commit_index,
-            round=peer.round,
-            disk_id=self._storage.disk_id,
         )
         sent_ms = core.clock.monotonic_ms()
         reply = await core.transport.call(
@@ -349,6 +342,27 @@
             return False
         return await self._on_append_reply(peer, request, reply, sent_ms)
 
+    def _append_request(
+        self,
+        peer: Peer,
+        prev_index: int,
+        prev_term: int,
+        *,
+        entries: tuple[Entry, ...],
+        commit_index: int,
+    ) -> AppendRequest:
+        peer.round += 1
+        return AppendRequest(
+            term=self.term,
+            leader=self._core.settings.instance,
+            prev_index=prev_index,
+            prev_term=prev_term,
+            entries=entries,
+            commit_index=commit_index,
+            round=peer.round,
+            disk_id=self._storage.disk_id,
+        )
+
     def _next_entries(self, peer: Peer) -> tuple[Entry, ...]:
         if peer.failing:
             return ()
@@ -403,9 +417,14 @@
             data=snapshot.data,
         )
         sent_ms = core.clock.monotonic_ms()
-        reply = await core.transport.call(
-            peer.instance, request, core.settings.snapshot_timeout_ms
-        )
+        reply = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._keep_alive, peer)
+            with suppress(CuminbendError):
+                reply = await core.transport.call(
+                    peer.instance, request, core.settings.snapshot_timeout_ms
+                )
+            group.cancel_scope.cancel()
         if not isinstance(reply, SnapshotReply):
             return False
         if not await self._note_reply(peer, reply, sent_ms):
@@ -417,11 +436,31 @@
         core.notify()
         return True
 
+    async def _keep_alive(self, peer: Peer) -> None:
+        """Send heartbeats while a snapshot is under way.
+
+        That can take longer than an election timeout, and this peer's answers may be
+        needed for a majority. The messages match any log and commit nothing.
+        """
+        core = self._core
+        while True:
+            await core.clock.sleep(ms(core.settings.heartbeat_ms))
+            request = self._append_request(peer, 0, 0, entries=(), commit_index=0)
+            sent_ms = core.clock.monotonic_ms()
+            with suppress(CuminbendError):
+                reply = await core.transport.call(
+                    peer.instance, request, core.settings.rpc_timeout_ms
+                )
+                if isinstance(reply, AppendReply) and reply.round == request.round:
+                    await self._note_reply(peer, reply, sent_ms)
+
     # Membership
 
     def _next_voters(self) -> tuple[Voter, ...] | None:
         """Return the voters after the next change, by one, if one is due."""
-        if not self.established or self._storage.voters_index > self._core.commit_index:
+        if not self.established or not self._core.disk_works:
+            return None
+        if self._storage.voters_index > self._core.commit_index:
             return None
         if any(proposal.kind == "voters" for proposal in self._pending):
             return None
