--- a/packages/cuminbend/src/cuminbend/consensus/tests/test_replica.py
+++ b/packages/cuminbend/src/cuminbend/consensus/tests/test_replica.py
@@ -621,6 +621,59 @@
     cluster_test(test)
 
 
+def test_new_leader_is_not_confirmed_before_its_first_commit() -> None:
+    """Guards against leases from a leader that may lack a committed configuration."""
+
+    async def test(cluster: Cluster) -> None:
+        cluster.start()
+        await cluster.commit(5)
+        old = await cluster.elected()
+        for node in cluster.followers():
+            node.disk.latency_ms, node.disk.slow_name = 4000, "consensus-log"
+        old.kill()
+        new = await cluster.until(
+            lambda: [n for n in cluster.nodes.values() if n.up and n.replica.is_leader]
+        )
+        for _ in range(100):
+            await anyio.sleep(0.01)
+            assert new[0].replica.confirmed_at_ms() is None
+        for node in cluster.nodes.values():
+            node.disk.latency_ms = 1
+        old.start()
+        await cluster.settled()
+
+    cluster_test(test, election_timeout_max_ms=900)
+
+
+def test_entries_of_a_former_term_are_not_counted() -> None:
+    """Guards against a commit that a later leader could still replace.
+
+    One follower alone has an entry of the former leader, and replicates it before
+    its own once it leads (Ongaro and Ousterhout, figure 8).
+    """
+
+    async def test(cluster: Cluster) -> None:
+        cluster.start()
+        await cluster.commit(3)
+        await cluster.settled()
+        old, (new, behind) = await cluster.elected(), cluster.followers()
+        cluster.isolate(behind.name)
+        cluster.cuts.add((new.name, old.name))
+        committed = new.replica.commit_index
+        assert not await cluster.propose(300)
+        assert new.storage.last_index == committed + 1
+        old.kill()
+        cluster.cuts.clear()
+        await cluster.until(lambda: new.replica.commit_index > committed, step_s=0.0001)
+        assert new.replica.is_leader
+        assert new.storage.term_at(new.replica.commit_index) == new.replica.term
+        assert len(new.machine.commands) == 4
+        old.start()
+        await cluster.settled()
+
+    cluster_test(test, max_batch_entries=1)
+
+
 def test_uncommitted_entries() -> None:
     """Guards against loss of entries that were acknowledged, and wrong matches."""
 
