Tell listeners of lost grants before the lease is extended

An instance whose lease had run out while a timer was late gave up its upstreams in a task that started only after the next reply had extended the lease. For that moment the gate could send work to an upstream that another instance owned. The release now starts within the listener before the lease is extended.

Polls cut short need no flag of their own: the poll after one is not held and cannot be cut short. Former owners whose cap is not known yet count with the cap that follows from the announcement instead of one connection.

Ruled out: skipping the extension after a lapse, which costs a poll of lease for every lapse and hides the order that the listener relies on.

--- a/packages/cuminbend/src/cuminbend/sessions/_client.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_client.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 
 import anyio
-from anyio.abc import TaskGroup
+from anyio.abc import TaskGroup, TaskStatus
 
 from cuminbend.config import parse_configuration
 from cuminbend.exceptions import (
@@ -98,7 +98,6 @@
         self._changed = anyio.Event()
         self._poll_scope: anyio.CancelScope | None = None
         self._wake_pending = False
-        self._cut_short = False
         self._tasks: TaskGroup | None = None
 
     async def run(self) -> None:
@@ -169,12 +168,11 @@
     def _wake(self) -> None:
         """Make the next poll start at once.
 
-        A poll is cut short only if the one before was not, so that frequent
-        announcements cannot keep every reply, and with it the lease, away.
+        The poll after one that was cut short is not held and cannot be cut short, so
+        frequent announcements cannot keep every reply, and with it the lease, away.
         """
         self._wake_pending = True
-        if self._poll_scope is not None and not self._cut_short:
-            self._cut_short = True
+        if self._poll_scope is not None:
             self._poll_scope.cancel()
 
     async def _poll(self) -> None:
@@ -200,7 +198,6 @@
         finally:
             self._poll_scope = None
         if reply is not None:
-            self._cut_short = False
             await self._take_reply(voter, request, sent_ms, reply)
 
     async def _take_reply(
@@ -211,7 +208,7 @@
             await self._clock.sleep(ms(self._voters.not_leading(voter, None)))
             return
         self._voters.answered(voter, reply.leader)
-        self._apply(request, sent_ms, reply)
+        await self._apply(request, sent_ms, reply)
 
     def _request(self, wait_ms: int) -> PollRequest:
         held = [*self.view.owned.values(), *self._releasing.values()]
@@ -232,7 +229,9 @@
 
     # Applying a reply
 
-    def _apply(self, request: PollRequest, sent_ms: float, reply: PollReply) -> None:
+    async def _apply(
+        self, request: PollRequest, sent_ms: float, reply: PollReply
+    ) -> None:
         self._forget_sent(request)
         if reply.term > self._term:
             self._term = reply.term
@@ -242,7 +241,8 @@
         view.set("leader", reply.leader)
         self._take_configuration(reply)
         if not view.lease.is_valid():
-            self._give_up_all()
+            # Before the extension, which would make the lost grants look valid.
+            await self._give_up(*view.owned)
         if reply.configuration_version == view.configuration_version:
             view.lease.extend(
                 poll_sent_ms=sent_ms, confirmed_age_ms=reply.confirmed_age_ms
@@ -253,7 +253,7 @@
         if reply.upstreams is not None:
             self._take_registry(reply.upstreams, reply.registry_version)
         if view.lease.is_valid():
-            self._take_grants(reply)
+            await self._take_grants(reply)
         self._notify()
 
     def _forget_sent(self, request: PollRequest) -> None:
@@ -329,12 +329,12 @@
                 self._mark_leaving(heard.announcement)
         self.view.reindex()
 
-    def _take_grants(self, reply: PollReply) -> None:
+    async def _take_grants(self, reply: PollReply) -> None:
         granted = {grant.upstream: grant for grant in reply.owned}
         for upstream, held in list(self.view.owned.items()):
             offered = granted.get(upstream)
             if offered is None or offered.grant_id != held.grant_id:
-                self._give_up(upstream)
+                await self._give_up(upstream)
         for upstream, grant in granted.items():
             if upstream in self.view.owned or upstream in self._releasing:
                 continue
@@ -373,18 +373,21 @@
 
     # Giving up upstreams
 
-    def _give_up_all(self) -> None:
-        for upstream in list(self.view.owned):
-            self._give_up(upstream)
-
-    def _give_up(self, upstream: str) -> None:
-        grant = self.view.owned.pop(upstream)
-        self.view.since["owned"] = self._clock.now()
-        self._releasing[upstream] = grant
+    async def _give_up(self, *upstreams: str) -> None:
+        """Start to release upstreams; return when the listener knows of it."""
         assert self._tasks is not None
-        self._tasks.start_soon(self._release, grant)
-
-    async def _release(self, grant: OwnedUpstream) -> None:
+        for upstream in upstreams:
+            grant = self.view.owned.pop(upstream, None)
+            if grant is not None:
+                self.view.since["owned"] = self._clock.now()
+                self._releasing[upstream] = grant
+                await self._tasks.start(self._release, grant)
+
+    async def _release(
+        self, grant: OwnedUpstream, *, task_status: TaskStatus[None]
+    ) -> None:
+        # The starter goes on only when this task waits, that is, within `revoked`.
+        task_status.started()
         handover = await self._listener.revoked(grant.upstream)
         del self._releasing[grant.upstream]
         self._released[grant.upstream] = (grant.grant_id, handover)
@@ -397,7 +400,7 @@
         while True:
             if self.view.owned and not lease.is_valid():
                 _log.warning("event=lease_expired instance=%s", self._info.instance)
-                self._give_up_all()
+                await self._give_up(*self.view.owned)
                 self._notify()
             pause_ms = lease.remaining_ms() or self._settings.poll_wait_ms
             await self._clock.sleep(ms(max(pause_ms, MIN_PAUSE_MS)))
--- a/packages/cuminbend/src/cuminbend/sessions/_coordinator.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_coordinator.py
@@ -307,8 +307,7 @@
         entry.grant = None
         entry.handover = None
         del grant.session.grants[entry.upstream]
-        cap = grant.connection_cap or self._cap(entry)
-        entry.formers.append(Former(cap, lost_until_ms))
+        entry.formers.append(Former(grant.connection_cap, lost_until_ms))
 
     def _cap(self, entry: Entry) -> int:
         said = entry.announcement
@@ -417,7 +416,10 @@
     ) -> bool:
         """Return whether connections of former owners leave room for a new one."""
         cap = self._cap(entry)
-        taken = sum(former.connections for former in entry.formers)
+        taken = sum(
+            cap if former.connections is None else former.connections
+            for former in entry.formers
+        )
         unknown_until_ms = (
             self._takeover_ends_ms() + self._settings.connection_linger_ms
         )
--- a/packages/cuminbend/src/cuminbend/sessions/_tables.py
+++ b/packages/cuminbend/src/cuminbend/sessions/_tables.py
@@ -36,9 +36,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Former:
-    """Connections that a former owner may have left open."""
+    """Connections that a former owner may have left open.
 
-    connections: int
+    Attributes:
+        connections: None for the cap that follows from the announcement.
+    """
+
+    connections: int | None
     until_ms: float
 
 
