Let a shard keep its complete reply by one rule

Cause: two guards kept late replies from replacing a complete one, so that no test could fail when one of them was missing, and the test for it did not make two replies arrive together.

Change: the second guard is removed; the test holds both replies back and lets them go at the same time. It fails without the remaining rule.

--- a/packages/cuminbend/src/cuminbend/query/_fanout.py
+++ b/packages/cuminbend/src/cuminbend/query/_fanout.py
@@ -60,10 +60,9 @@
     def accept(self, outcome: Outcome) -> None:
         """Take over the result of an attempt.
 
-        A reply that arrives together with the one that settled the shard is dropped.
+        A complete reply replaces a partial one, and nothing replaces a complete one
+        with less, not even a reply that arrives at the same time.
         """
-        if self.settled:
-            return
         if outcome.reply is None:
             self.tried[outcome.upstream] += 1
             return
--- a/packages/cuminbend/src/cuminbend/query/tests/test_attempts.py
+++ b/packages/cuminbend/src/cuminbend/query/tests/test_attempts.py
@@ -67,11 +67,26 @@
 def test_replies_that_arrive_together_count_once(seed: int) -> None:
     """Guards against a late partial reply that replaces a complete one."""
     cluster = no_canary_cluster()
-    cluster.latency_ms = {"fit-1-x": 23.0}
     cluster.partial = {"fit-1-y"}
+    gate = anyio.Event()
+
+    async def script(request: ShardRequest) -> ShardReply | None:
+        if request.shard != 1:
+            return None
+        await gate.wait()
+        return cluster.reply(request)
+
+    cluster.script = script
 
     async def main() -> SearchAnswer:
-        return await cluster.coordinator().search(search_request())
+        async with anyio.create_task_group() as group:
+
+            async def open_gate() -> None:
+                await cluster.pause(40)
+                gate.set()
+
+            group.start_soon(open_gate)
+            return await cluster.coordinator().search(search_request())
 
     answer = run_on_trio(main, seed)
     assert (answer.shards_answered, answer.partial) == (4, ())
