Raise the hedge delay more slowly than it falls

Cause: with 2% slow requests and a canary per query the factor on the hedge delay stood at 1.7 although 22 of 30 tokens were left. One query with many slow shards raises it by many steps at once.

Change: it rises by 0.5% and falls by 2% per hedge.

--- a/packages/cuminbend/src/cuminbend/query/_attempts.py
+++ b/packages/cuminbend/src/cuminbend/query/_attempts.py
@@ -33,15 +33,20 @@
 
 _log = logging.getLogger(__name__)
 
-# Failures that say something about the upstream rather than about the request or
-# about this instance.
-# Factor by which one hedge changes the delay of the next ones.
-_PRESSURE_STEP = 1.02
+# Factors by which one hedge changes the delay of the next ones. One slow upstream
+# refuses many hedges at a time; a rise as fast as the fall overshot to 1.7 times.
+_PRESSURE_RISE = 1.005
+_PRESSURE_FALL = 1.02
 _MAX_PRESSURE = 4.0
+# A hedge past this quantile of its service is worth another one. It is below the 95th
+# percentile of the first hedge, because the shard holds up the whole answer already.
 _NEXT_HEDGE_QUANTILE = 0.9
+# Failures after which an upstream may be gone.
 _UNREACHABLE = frozenset(
     {UpstreamErrorKind.CONNECT, UpstreamErrorKind.RESET, UpstreamErrorKind.TIMEOUT}
 )
+# Failures that say something about the upstream rather than about the request or
+# about this instance.
 _UPSTREAM_FAULTS = frozenset(UpstreamErrorKind) - {UpstreamErrorKind.MISMATCH}
 
 
@@ -79,9 +84,9 @@
             is_first_try: Whether this hedge was not refused before.
         """
         if self._budget.tokens >= self._half:
-            self.pressure = max(1.0, self.pressure / _PRESSURE_STEP)
+            self.pressure = max(1.0, self.pressure / _PRESSURE_FALL)
         elif is_first_try:
-            self.pressure = min(_MAX_PRESSURE, self.pressure * _PRESSURE_STEP)
+            self.pressure = min(_MAX_PRESSURE, self.pressure * _PRESSURE_RISE)
         return self._budget.try_spend()
 
 
