Keep the check of the operator file linear in its size

Cause: the search for long dotted keys started again at each character of a word, so one word of a million characters would have occupied every voter without end.

Change: a look-behind starts the search at the first character of a word only; a test with such a word, and a seeded test of damaged files.

Conclusion: the size limit of the file bounds the time of the check.

--- a/packages/cuminbend/src/cuminbend/config/_load.py
+++ b/packages/cuminbend/src/cuminbend/config/_load.py
@@ -27,7 +27,11 @@
 MAX_KEY_PARTS = 16
 
 _TOKEN = re.compile(rf"({COMMENT})|({STRING})|([\[{{])|([\]}}])", re.DOTALL)
-_LONG_KEY = re.compile(rf"(?:[A-Za-z0-9_\-]++[ \t]*+\.[ \t]*+){{{MAX_KEY_PARTS}}}")
+# The look-behind keeps the search linear in the length of one word.
+_LONG_KEY = re.compile(
+    r"(?<![A-Za-z0-9_\-])"
+    rf"(?:[A-Za-z0-9_\-]++[ \t]*+\.[ \t]*+){{{MAX_KEY_PARTS}}}"
+)
 
 # Location of a fault, and its text.
 Fault = tuple[tuple[str | int, ...], str]
--- a/packages/cuminbend/src/cuminbend/config/tests/test_parse_configuration.py
+++ b/packages/cuminbend/src/cuminbend/config/tests/test_parse_configuration.py
@@ -1,5 +1,7 @@
 """Tests of the operator file."""
 
+import random
+
 import pytest
 
 from cuminbend.config import (
@@ -51,6 +53,12 @@
 max_body_bytes = 1_024
 """
 
+PIECES = [
+    *"[]{}\"'#=.,\\\n\r\0\ta1\ufeff",
+    *('"""', "''" + "'", "''" * 3, "inf", "1979-05-27", "[[services]]", "p=[1,\n2,]"),
+    *("[services.shards]", '[a."b".c]', "\"k\".'l'=2", "t={a.b='}'}"),
+]
+
 
 def problems_of(text):
     with pytest.raises(ConfigurationError) as caught:
@@ -106,6 +114,7 @@
         ("p1 = 20", "a." * 20_000 + "a = 1", "[cluster]", "a key has more than"),
         ("p1 = 20", '"a".' * 20_000 + "a = 1", "[cluster]", "a key has more than"),
         ("p1 = 20", '"' + '\\"' * 200_000, '\\"', "not valid TOML"),
+        ("p1 = 20", "a" * 1_000_000, "aaa", "not valid TOML"),
         ("[[members]]", "[cluster]\n[[members]]", "[cluster]", "not valid TOML"),
         # Unknown, missing and mistyped keys.
         ("share = 2", "shares = 2", "shares", "members.0.shares: unknown key"),
@@ -221,6 +230,24 @@
     ]
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_damaged_file_is_accepted_or_refused(seed):
+    # Guards against any other error, which would stop all voters at one command.
+    rng = random.Random(seed)
+    for _ in range(50):
+        text = EXAMPLE
+        for _ in range(rng.randrange(1, 6)):
+            position = rng.randrange(len(text))
+            removed = rng.choice([0, 0, 1, 7])
+            text = text[:position] + rng.choice(PIECES) + text[position + removed :]
+        problems = []
+        try:
+            parse_configuration(text)
+        except ConfigurationError as error:
+            problems = error.problems
+        assert all(item.startswith("line ") for item in problems)
+
+
 def test_large_file_is_refused():
     # Guards against a file that occupies every voter for minutes.
     assert "larger than" in problems_of("#" * (4 * 1024 * 1024 + 1))[0]
