Test that the first outcome of a claim stands

Cause: a copy of the code that accepts a second outcome passed all tests since claims with an outcome are kept as rows.

Change: one more line of the table of claims.

Figures: 398 tests pass in 15 s; the copy fails on the new line.

--- a/packages/cuminbend/src/cuminbend/replicated/tests/test_claims.py
+++ b/packages/cuminbend/src/cuminbend/replicated/tests/test_claims.py
@@ -41,6 +41,10 @@
         ([claim("c1"), outcome("c1", "unknown"), claim("c2")], "unknown"),
         ([claim("c1"), outcome("c1", "unknown"), claim("c1")], "unknown"),
         ([claim("c1"), outcome("c1", "not_run"), claim("c2")], "granted"),
+        (
+            [claim("c1"), outcome("c1", "unknown"), outcome("c1"), claim("c2")],
+            "unknown",
+        ),
         # A claim id that was freed or refused never gets the key, even as a duplicate.
         ([claim("c1"), outcome("c1", "not_run"), claim("c1")], "in_progress"),
         (
