--- a/packages/cuminbend/src/cuminbend/messages.py
+++ b/packages/cuminbend/src/cuminbend/messages.py
@@ -216,7 +216,7 @@
     Attributes:
         request_id: Unique across instances and their restarts.
         caller_request_id: The caller's id, for logs and upstream tracing.
-        fingerprint: Digest of member, target and body.
+        fingerprint: Digest of target and body.
         shard: Shard number, or -1 for a submit.
         snapshot: Pinned snapshot, or None for a submit.
         budget_ms: Time left until the deadline when the message was made.
