Test that replies of the past give an instance nothing

Two checks of the instance side had no test that failed without them: a grant that was given up must not be taken up again, and replies of a replaced leader are ignored. The new trace fails without either. It was run against copies with each check removed.

Still without such a test: the rule that an instance gets upstreams only after its polls show the registry of this leader. All tests pass with it removed.

--- a/packages/cuminbend/src/cuminbend/sessions/tests/test_scenarios.py
+++ b/packages/cuminbend/src/cuminbend/sessions/tests/test_scenarios.py
@@ -11,6 +11,7 @@
     Announcement,
     GateHandover,
     InstanceInfo,
+    OwnedUpstream,
     PollReply,
     PollRequest,
     UpstreamState,
@@ -429,3 +430,33 @@
         return
     with pytest.raises(InvalidRequestError, match=problem):
         check_announcement(replace(known, **changes), known)  # type: ignore[arg-type]
+
+
+def test_replies_of_the_past_give_nothing() -> None:
+    # Guards against a grant that was given up and is taken up again, and against one
+    # of a leader that another one has replaced.
+    async def scenario(world: World) -> None:
+        (owner,) = await settle(world, announcement("x0"))
+        grant = owner.view.owned["x0"]
+        taken: list[OwnedUpstream] = []
+        transport = owner.client._transport
+
+        async def poll(
+            instance: str, request: PollRequest, timeout_ms: float
+        ) -> PollReply:
+            reply = await carry(instance, request, timeout_ms)
+            return replace(reply, owned=tuple(taken), term=reply.term + step)
+
+        carry, step = transport.poll, 0
+        transport.poll = poll  # type: ignore[method-assign]
+        await trio.sleep(1)
+        assert not owner.view.owned
+        taken.append(grant)
+        await trio.sleep(1)
+        assert not owner.view.owned
+        taken[:] = [replace(grant, grant_id=grant.grant_id << 8)]
+        step = -1
+        await trio.sleep(1)
+        assert not owner.view.owned
+
+    simulate(scenario)
