Keep an instance alive when gRPC cancels a call

Cause: gRPC raises a CancelledError of its own when a task that waits for a call is cancelled or another task closes the channel.

Change: the client converts it: the task's own cancellation is raised again by anyio, everything else becomes PeerUnreachableError. Ruled out: looking at Task.cancelling(), which is also set when anyio cancelled the task, while the error that comes out is still the one anyio does not know.

--- a/packages/cuminbendd/src/cuminbendd/peers/_client.py
+++ b/packages/cuminbendd/src/cuminbendd/peers/_client.py
@@ -1,9 +1,13 @@
 """Channels to other instances and unary calls over them."""
 
+import asyncio
 import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 import grpc
 import grpc.aio
 from cuminbend import consensus
@@ -37,6 +41,24 @@
 }
 
 
+@asynccontextmanager
+async def convert_call_cancellation(instance: str) -> AsyncIterator[None]:
+    """Turn the CancelledError of a gRPC call into what it stands for.
+
+    gRPC raises a CancelledError of its own both when another task closes the channel
+    and when this task is cancelled. A cancel scope of anyio does not know it, so it
+    would end the task group and with it the instance.
+
+    Raises:
+        PeerUnreachableError: If only the call was cancelled.
+    """
+    try:
+        yield
+    except asyncio.CancelledError as error:
+        await anyio.lowlevel.checkpoint_if_cancelled()
+        raise PeerUnreachableError(instance, sent=True) from error
+
+
 class PeerClients:
     """Channels by instance; implements the consensus and poll transports.
 
@@ -145,7 +167,8 @@
             self._stubs[key] = stub(channel)
         call = getattr(self._stubs[key], method)
         try:
-            return await call(message, timeout=max(timeout_ms, 1.0) / 1000)
+            async with convert_call_cancellation(instance):
+                return await call(message, timeout=max(timeout_ms, 1.0) / 1000)
         except grpc.aio.AioRpcError as error:
             code = error.code()
             if code == grpc.StatusCode.FAILED_PRECONDITION:
--- a/packages/cuminbendd/src/cuminbendd/peers/_relay.py
+++ b/packages/cuminbendd/src/cuminbendd/peers/_relay.py
@@ -27,7 +27,7 @@
 from cuminbend.sessions import SessionView
 from cuminbend.upstreams import GateTable
 
-from cuminbendd.peers._client import PeerClients
+from cuminbendd.peers._client import PeerClients, convert_call_cancellation
 from cuminbendd.peers._codec import PROTOCOL_VERSION, from_wire, to_wire
 from cuminbendd.proto import cuminbend_v1_pb2 as pb
 from cuminbendd.proto import cuminbend_v1_pb2_grpc as pb_grpc
@@ -160,10 +160,15 @@
         self, step: Callable[[Any], Awaitable[None]], call: Any, group: TaskGroup
     ) -> None:
         try:
-            await step(call)
+            async with convert_call_cancellation(self._instance):
+                await step(call)
         except TimeoutError:
             self._silent = True
-        except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
+        except (
+            grpc.aio.AioRpcError,
+            grpc.aio.UsageError,
+            PeerUnreachableError,
+        ) as error:
             logger.debug(
                 "event=relay_stream_broken peer=%s error=%s", self._instance, error
             )
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/peers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of gRPC between instances."""
