Lower the search limit under congestion whatever part of it is in use

Change: an explicit refusal for overload lowers the limit in any case, down to 4; slow searches do so only when half of the limit is in use. Ruled out, after a try: cutting the limit to the searches in progress at once (12 tests of searches under faults then refused too many), and smaller retry bursts (same tests).

--- a/packages/cuminbend/src/cuminbend/query/_admission.py
+++ b/packages/cuminbend/src/cuminbend/query/_admission.py
@@ -86,8 +86,9 @@
                 nothing about load.
             congested: Whether a shard was refused for overload.
         """
-        was_full = self.in_progress >= self._limit - 1
-        was_relevant = self.in_progress >= self._limit / 2
+        in_progress = self.in_progress
+        was_full = in_progress >= self._limit - 1
+        was_relevant = in_progress >= self._limit / 2
         self._in_progress[member] -= 1
         if self._in_progress[member] <= 0:
             del self._in_progress[member]
@@ -96,10 +97,10 @@
         if latency_ms is not None:
             base_ms = self._update_base(target, latency_ms)
             slow = latency_ms > base_ms * self._settings.congested_factor
-        if congested or slow:
-            # A limit that was not in use did not cause the congestion.
-            if was_relevant:
-                self._decrease(base_ms)
+        # A slow search says little while most of the limit is not in use; a refusal by
+        # a gate always means that less has to be admitted than is in progress.
+        if congested or (slow and was_relevant):
+            self._decrease(base_ms)
         elif was_full:
             self._limit += 1.0 / self._limit
 
--- a/packages/cuminbend/src/cuminbend/query/_settings.py
+++ b/packages/cuminbend/src/cuminbend/query/_settings.py
@@ -84,7 +84,7 @@
     straggler_wait_ms: float = 100.0
     latency_rounds: int = 2
     initial_search_limit: float = 64.0
-    min_search_limit: float = 1.0
+    min_search_limit: float = 4.0
     decrease_factor: float = 0.9
     congested_factor: float = 4.0
     base_drift: float = 0.002
