Split the session coordinator by job

The state of a term moves to CoordinatorCore, as in consensus, and each job gets a module that works on it: _intake, _grants, _rounds, _replies, _in_force and _dump. The coordinator keeps the order of a poll and of the upkeep.

Mixins on one class were ruled out, because they would hide which job uses which state. State per module was ruled out too, because a change of term has to reset all of it at once.

--- a/packages/cuminbend/src/cuminbend/sessions/__init__.py
+++ b/packages/cuminbend/src/cuminbend/sessions/__init__.py
@@ -3,7 +3,8 @@
 from cuminbend.messages import PollReply, PollRequest
 from cuminbend.sessions._announcements import check_announcement
 from cuminbend.sessions._client import SessionClient
-from cuminbend.sessions._coordinator import InForce, SessionCoordinator
+from cuminbend.sessions._coordinator import SessionCoordinator
+from cuminbend.sessions._in_force import InForce
 from cuminbend.sessions._lease import Lease
 from cuminbend.sessions._protocols import (
     ConfigurationSource,
