Bound the log by bytes, and refuse canaries without recent news of suspects

The owner of an upstream refuses a canary that its view knows as suspect or quarantined, and any canary when its lease is older than 1.5 s. Ruled out: committing a claim before every canary, one round of the control log per search; and a limit near the poll interval, which would stop unknown searches during every election.

Conclusion: within 1.5 s of a cut a further break remains possible; documented.

--- a/fakes/inprocess/_cluster.py
+++ b/fakes/inprocess/_cluster.py
@@ -121,6 +121,7 @@
             control=self,
             shares=_Shares(self.view),
             data_centre_in_service=self.view.in_service,
+            known=self.view,
         )
         self.sessions = SessionClient(
             settings=SessionSettings(voters=(LEADER,), lease_ms=cluster.lease_ms),
--- a/packages/cuminbend/src/cuminbend/consensus/_core.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_core.py
@@ -79,6 +79,7 @@
         self.started = False
         self.role = Role.FOLLOWER
         self.leader: str | None = None
+        self.compacted_size_bytes = 0
         self.led_since_ms: float | None = None
         self.heard_leader_ms = 0.0
         self.commit_index = 0
--- a/packages/cuminbend/src/cuminbend/consensus/_following.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_following.py
@@ -174,9 +174,17 @@
     await core.storage.write_snapshot(snapshot)
     async with core.lock:
         await core.storage.compact(snapshot)
+        core.compacted_size_bytes = core.storage.log_size_bytes
 
 
 def _snapshot_due(core: ReplicaCore) -> bool:
     snapshot = core.storage.snapshot
     applied = core.commit_index - (snapshot.index if snapshot else 0)
-    return applied >= core.settings.snapshot_after_entries
+    if applied == 0:
+        return False
+    # After a snapshot the newest segment stays; what counts is the growth since then.
+    grown_bytes = core.storage.log_size_bytes - core.compacted_size_bytes
+    return (
+        applied >= core.settings.snapshot_after_entries
+        or grown_bytes >= core.settings.snapshot_after_bytes
+    )
--- a/packages/cuminbend/src/cuminbend/consensus/_settings.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_settings.py
@@ -14,6 +14,8 @@
             that one lost heartbeat does not start an election.
         snapshot_timeout_ms: Limit of sending a whole snapshot.
         snapshot_after_entries: Entries applied between two snapshots.
+        snapshot_after_bytes: Growth of the log after which a snapshot is taken even
+            with fewer entries; operator files may be large.
         max_batch_entries: Entries in one append to disk or to a peer.
         max_batch_bytes: Data in one append to a peer, unless one entry is larger;
             below the default message limit of gRPC (4 MiB).
@@ -30,6 +32,7 @@
     rpc_timeout_ms: float = 250
     snapshot_timeout_ms: float = 10_000
     snapshot_after_entries: int = 1000
+    snapshot_after_bytes: int = 1 << 20
     max_batch_entries: int = 500
     max_batch_bytes: int = 1 << 20
     max_uncommitted_entries: int = 5000
--- a/packages/cuminbend/src/cuminbend/consensus/_storage.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_storage.py
@@ -121,6 +121,11 @@
         if self.last_index and not self.term:
             raise CorruptDataError(f"{VOTE_FILE} is missing; {REMEDY}")
 
+    @property
+    def log_size_bytes(self) -> int:
+        """Size of all log segments on disk."""
+        return sum(segment.size_bytes for segment in self._segments)
+
     @property
     def is_open(self) -> bool:
         """Whether :meth:`open` has succeeded."""
--- a/packages/cuminbend/src/cuminbend/upstreams/__init__.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/__init__.py
@@ -1,6 +1,6 @@
 """Admission of work to one upstream at its owner."""
 
-from cuminbend.upstreams._base import LeaseView, MemberShares
+from cuminbend.upstreams._base import LeaseView, MemberShares, SuspectView
 from cuminbend.upstreams._gate import UpstreamGate
 from cuminbend.upstreams._settings import GateSettings
 from cuminbend.upstreams._suspects import SuspectMemory
@@ -12,5 +12,6 @@
     "LeaseView",
     "MemberShares",
     "SuspectMemory",
+    "SuspectView",
     "UpstreamGate",
 ]
--- a/packages/cuminbend/src/cuminbend/upstreams/_base.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_base.py
@@ -13,6 +13,18 @@
         """Return the time until the lease ends."""
 
 
+class SuspectView(Protocol):
+    """What the control log knows of requests that break upstreams."""
+
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """Fingerprints refused everywhere."""
+
+    @property
+    def suspects(self) -> dict[str, str]:
+        """Fingerprints that broke one upstream, with its name."""
+
+
 class MemberShares(Protocol):
     """Weights of the members."""
 
--- a/packages/cuminbend/src/cuminbend/upstreams/_settings.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_settings.py
@@ -37,6 +37,10 @@
             the upstream is empty.
         draining_memory_ms: Time for which an upstream that refused work as draining
             stays closed even if an announcement, which may be stale, calls it ready.
+        lease_ms: Length of a lease; the same on every instance.
+        canary_fresh_ms: Age of the lease up to which this instance knows enough of
+            suspects to send a canary. An election takes up to 1200 ms, and a leader
+            change is not to interrupt searches.
         not_owner_retry_ms: When a request for an upstream that this instance does not
             own makes sense again; one poll interval.
     """
@@ -62,4 +66,6 @@
     suspect_memory_size: int = 10_000
     suspect_drain_ms: float = 100.0
     draining_memory_ms: float = 5000.0
+    lease_ms: float = 3000.0
+    canary_fresh_ms: float = 1500.0
     not_owner_retry_ms: float = 250.0
--- a/packages/cuminbend/src/cuminbend/upstreams/_table.py
+++ b/packages/cuminbend/src/cuminbend/upstreams/_table.py
@@ -3,16 +3,22 @@
 from collections.abc import Callable
 from typing import Any
 
-from cuminbend.exceptions import UnavailableError
+from cuminbend.exceptions import (
+    QuarantinedError,
+    RunState,
+    SuspectError,
+    UnavailableError,
+)
 from cuminbend.messages import (
     Announcement,
     GateHandover,
     OwnedUpstream,
     ShardReply,
     ShardRequest,
+    WorkKind,
 )
 from cuminbend.ports import Clock, ControlPort, RandomSource, UpstreamTransport
-from cuminbend.upstreams._base import LeaseView, MemberShares
+from cuminbend.upstreams._base import LeaseView, MemberShares, SuspectView
 from cuminbend.upstreams._gate import UpstreamGate
 from cuminbend.upstreams._settings import GateSettings
 from cuminbend.upstreams._suspects import SuspectMemory
@@ -24,6 +30,7 @@
     Args:
         data_centre_in_service: Whether a data centre may get work under the
             configuration in force.
+        known: Quarantine and suspects as this instance last heard of them.
     """
 
     def __init__(
@@ -37,6 +44,7 @@
         control: ControlPort,
         shares: MemberShares,
         data_centre_in_service: Callable[[str], bool],
+        known: SuspectView | None = None,
     ) -> None:
         self._settings = settings
         self._transport = transport
@@ -46,6 +54,7 @@
         self._control = control
         self._shares = shares
         self._data_centre_in_service = data_centre_in_service
+        self._known = known
         self._suspects = SuspectMemory(settings=settings, clock=clock)
         self._gates: dict[str, UpstreamGate] = {}
         self._releasing: dict[str, tuple[OwnedUpstream, Announcement] | None] = {}
@@ -117,8 +126,35 @@
         gate = self._gates.get(request.upstream)
         if gate is None:
             raise self._not_owner_error(request.upstream)
+        if request.kind is WorkKind.CANARY:
+            self._check_canary(request)
         return await gate.run(request)
 
+    def _check_canary(self, request: ShardRequest) -> None:
+        """Refuse a canary that is known to break upstreams, or might be.
+
+        An instance that was cut off still has its lease for a while, but may not have
+        heard that the request broke upstreams elsewhere.
+        """
+        if self._known is None:
+            return
+        fingerprint = request.fingerprint
+        if fingerprint in self._known.quarantined:
+            raise QuarantinedError(
+                "the request broke two upstreams and is refused everywhere; change it",
+                run_state=RunState.RAN,
+            )
+        if fingerprint in self._known.suspects:
+            first = self._known.suspects[fingerprint]
+            raise SuspectError(fingerprint, first_upstream=first)
+        settings = self._settings
+        if self._lease.remaining_ms() < settings.lease_ms - settings.canary_fresh_ms:
+            raise UnavailableError(
+                "this instance has not heard from the leader lately and cannot tell "
+                "whether the request breaks upstreams; ask another replica",
+                retry_after_ms=round(settings.not_owner_retry_ms),
+            )
+
     def _not_owner_error(self, upstream: str) -> UnavailableError:
         return UnavailableError(
             f"this instance does not own upstream {upstream}; ask the owner named in "
--- a/packages/cuminbendd/src/cuminbendd/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/_instance.py
@@ -175,7 +175,11 @@
             clock=self._clock,
         )
         self._gates = GateTable(
-            settings=GateSettings(connection_linger_ms=timing.connection_linger_ms),
+            settings=GateSettings(
+                connection_linger_ms=timing.connection_linger_ms,
+                lease_ms=timing.lease_ms,
+                canary_fresh_ms=timing.lease_ms / 2,
+            ),
             transport=self._transport,
             clock=self._clock,
             random=self._random,
@@ -183,6 +187,7 @@
             control=self._control,
             shares=ConfiguredShares(view=view),
             data_centre_in_service=view.in_service,
+            known=view,
         )
         self._sessions = SessionClient(
             settings=SessionSettings(
