Keep a cancelled gRPC call from ending the whole instance

grpcio raises a CancelledError without a message both when the waiting task is cancelled and when the channel of the call is closed. anyio only recognises the cancellation of its scopes by the message. A poll that was cut short to send the next one at once therefore ended the session task with a foreign cancellation, which cancelled the task group of the instance: the process logged instance_stopped and exited with code 0. A process test of a planned stop under load saw 89 failed requests because the drain was cancelled 5 ms after its start; in a test that froze an instance, two instances ended without being asked to.

Unary calls and relay streams now raise the cancellation again if it was meant for their task, and otherwise treat the call as broken: unreachable, possibly sent.

A trace of the instance's tasks showed the session task ending first, so the signal handler, uvicorn and the drain itself were ruled out. The relay's branch has no test of its own.

--- a/packages/cuminbendd/src/cuminbendd/peers/_client.py
+++ b/packages/cuminbendd/src/cuminbendd/peers/_client.py
@@ -1,9 +1,11 @@
 """Channels to other instances and unary calls over them."""
 
+import asyncio
 import logging
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 import grpc
 import grpc.aio
 from cuminbend import consensus
@@ -146,6 +148,9 @@
         call = getattr(self._stubs[key], method)
         try:
             return await call(message, timeout=max(timeout_ms, 1.0) / 1000)
+        except asyncio.CancelledError as error:
+            await check_own_cancellation()
+            raise PeerUnreachableError(instance, sent=True) from error
         except grpc.aio.AioRpcError as error:
             code = error.code()
             if code == grpc.StatusCode.FAILED_PRECONDITION:
@@ -159,3 +164,17 @@
     def _drop_stubs(self, instance: str) -> None:
         for key in [key for key in self._stubs if key[0] == instance]:
             del self._stubs[key]
+
+
+async def check_own_cancellation() -> None:
+    """Raise again if the current task was cancelled; return if only its call was.
+
+    grpcio raises a plain ``CancelledError`` both when the task that waits for a call is
+    cancelled and when the call ends because its channel was closed. anyio does not
+    recognise it as the cancellation of a scope, so it would end the task silently and
+    with it the task group of the instance.
+    """
+    await anyio.lowlevel.checkpoint_if_cancelled()
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
--- a/packages/cuminbendd/src/cuminbendd/peers/_relay.py
+++ b/packages/cuminbendd/src/cuminbendd/peers/_relay.py
@@ -4,6 +4,7 @@
 all. Under load, batches grow and the cost of a message is shared by many requests.
 """
 
+import asyncio
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
@@ -27,7 +28,7 @@
 from cuminbend.sessions import SessionView
 from cuminbend.upstreams import GateTable
 
-from cuminbendd.peers._client import PeerClients
+from cuminbendd.peers._client import PeerClients, check_own_cancellation
 from cuminbendd.peers._codec import PROTOCOL_VERSION, from_wire, to_wire
 from cuminbendd.proto import cuminbend_v1_pb2 as pb
 from cuminbendd.proto import cuminbend_v1_pb2_grpc as pb_grpc
@@ -163,6 +164,8 @@
             await step(call)
         except TimeoutError:
             self._silent = True
+        except asyncio.CancelledError:
+            await check_own_cancellation()
         except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
             logger.debug(
                 "event=relay_stream_broken peer=%s error=%s", self._instance, error
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/peers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the channels between instances."""
