--- a/fakes/local_cluster.py
+++ b/fakes/local_cluster.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -98,6 +99,11 @@
             return None
         return document if status == 200 else None
 
+    def voters(self) -> list[str]:
+        """Return the voters that this instance knows, as ``instance/disk_id``."""
+        dump = self.get("/v1/dump") or {}
+        return list(dump.get("control_log", {}).get("voters", []))
+
 
 @dataclass
 class LocalCluster:
@@ -164,6 +170,29 @@
             instance.process.kill()
             instance.process.wait()
 
+    def signal(self, instance: LocalInstance, number: signal.Signals) -> None:
+        """Send a signal to the process of an instance."""
+        if instance.process is None:
+            raise ValueError(f"{instance.name} has not been started")
+        instance.process.send_signal(number)
+
+    def freeze(self, instance: LocalInstance) -> None:
+        """Suspend an instance; its connections stay open."""
+        self.signal(instance, signal.SIGSTOP)
+
+    def thaw(self, instance: LocalInstance) -> None:
+        """Resume a frozen instance."""
+        self.signal(instance, signal.SIGCONT)
+
+    def stop(self, instance: LocalInstance) -> None:
+        """Ask an instance for a planned stop, without waiting for its end."""
+        self.signal(instance, signal.SIGTERM)
+
+    def lose_disk(self, instance: LocalInstance) -> None:
+        """Kill a voter and delete its data folder."""
+        self.kill(instance)
+        shutil.rmtree(instance.folder / "data")
+
     def start_all(self) -> None:
         """Start all instances and the stand-in upstreams."""
         for instance in self.instances:
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Failure tests over real daemon processes."""
