--- a/packages/cuminbendd/src/cuminbendd/tests/test_processes.py
+++ b/packages/cuminbendd/src/cuminbendd/tests/test_processes.py
@@ -413,8 +413,10 @@
 
 
 APPLIES = 300
-# Each file is about 20 kB, so the texts of all applies are about 6 MB.
+# Each file is about 20 kB, so the texts of all applies are about 6 MB. The bound allows
+# two log segments of 1 MiB, a snapshot, and one replacement of each in progress.
 NOTE_BYTES = 20_000
+DATA_FOLDER_LIMIT_BYTES = 4 * 1024 * 1024
 RESTART_LIMIT_S = 5.0
 
 
@@ -436,6 +438,23 @@
     return version, text
 
 
+def test_data_folder_is_bounded_after_many_applies(tmp_path: Path) -> None:
+    """Guards against a log that keeps the text of every configuration."""
+    with running_cluster(tmp_path) as cluster:
+        leader = cluster.leader()
+        assert leader is not None
+        apply_many(leader)
+        sizes = {
+            item.name: sum(
+                file.stat().st_size
+                for file in (item.folder / "data").rglob("*")
+                if file.is_file()
+            )
+            for item in cluster.instances
+        }
+        assert max(sizes.values()) <= DATA_FOLDER_LIMIT_BYTES, sizes
+
+
 def test_restart_after_many_applies_is_quick(tmp_path: Path) -> None:
     """Guards against a restart that slows down with every apply in the log."""
     with running_cluster(tmp_path) as cluster:
