--- a/fakes/inprocess/_cluster.py
+++ b/fakes/inprocess/_cluster.py
@@ -152,6 +152,14 @@
             accounts=MemberAccounts(),
         )
 
+    def cut_off(self) -> None:
+        """Cut it off from all instances that are not cut off and from upstreams."""
+        self.cut = self.transport.cut = True
+
+    def reconnect(self) -> None:
+        """End the network partition."""
+        self.cut = self.transport.cut = False
+
     async def poll(
         self, instance: str, request: PollRequest, timeout_ms: float
     ) -> PollReply:
@@ -198,9 +206,12 @@
         await anyio.sleep(one_way_s)
         await owner.clock.resume.wait()
         try:
-            return await owner.gates.run(request)
+            reply = await owner.gates.run(request)
         finally:
             await anyio.sleep(one_way_s)
+        if owner.cut != self.cut:
+            raise UnavailableError("reply lost", run_state=RunState.UNKNOWN)
+        return reply
 
 
 class FakeCluster:
--- a/fakes/inprocess/_upstreams.py
+++ b/fakes/inprocess/_upstreams.py
@@ -1,6 +1,8 @@
 """Upstreams with slots, connections, slow start and faults."""
 
+import json
 import random
+from collections import Counter
 from dataclasses import dataclass, field, replace
 
 import anyio
@@ -22,6 +24,10 @@
         straggler_share: Share of requests that take ``straggler_factor`` times longer.
         queue_limit: Waiting requests beyond which it sheds.
         dies_at: Requests in flight at which it breaks even when warm.
+        body_breaks: Times that ``crash_body`` broke it.
+        connections: Connections open on its side, with those that an instance gave
+            up while one of both was unreachable.
+        runs_by_call: Submits run, by the caller's request id.
     """
 
     announcement: Announcement
@@ -40,12 +46,14 @@
     in_flight: int = 0
     runs: int = 0
     crashes: int = 0
+    body_breaks: int = 0
     cold_violations: int = 0
     sheds: int = 0
     connections: int = 0
     max_connections: int = 0
     last_run_ms: float = float("-inf")
     runs_by_key: dict[str, int] = field(default_factory=dict)
+    runs_by_call: Counter[str] = field(default_factory=Counter)
     incarnation: int = 1
     broken: anyio.Event = field(default_factory=anyio.Event)
 
@@ -100,6 +108,7 @@
         key = request.idempotency_key
         if key is not None:
             upstream.runs_by_key[key] = upstream.runs_by_key.get(key, 0) + 1
+            upstream.runs_by_call[request.caller_request_id] += 1
         try:
             return await self._work(upstream, request, limit)
         finally:
@@ -110,6 +119,7 @@
     ) -> ShardReply:
         incarnation, broken = upstream.incarnation, upstream.broken
         if upstream.crash_body and upstream.crash_body in request.body:
+            upstream.body_breaks += 1
             upstream.crash()
         # Requests beyond the slots share them, so each takes longer.
         crowding = max(1.0, upstream.in_flight / limit)
@@ -123,12 +133,20 @@
         if upstream.incarnation != incarnation:
             raise _error("reset", UpstreamErrorKind.RESET, RunState.UNKNOWN)
         upstream.served += 1
+        snapshot = upstream.answers_snapshot or request.snapshot
+        # The body repeats what was served, so that checks need not trust the envelope.
+        served = {
+            "call": request.caller_request_id,
+            "service": upstream.announcement.service,
+            "shard": request.shard,
+            "index_version": snapshot.index_version if snapshot else None,
+        }
         return ShardReply(
             request_id=request.request_id,
             upstream=request.upstream,
             incarnation=upstream.incarnation,
-            body=b'{"hit": 1}',
-            snapshot=upstream.answers_snapshot or request.snapshot,
+            body=json.dumps(served).encode(),
+            snapshot=snapshot,
             service_time_ms=service_ms,
         )
 
@@ -178,8 +196,8 @@
             with anyio.fail_after(timeout_ms / 1000):
                 if self.cut:
                     await anyio.sleep_forever()
-                await self._connect(name, target)
                 connected = True
+                await self._connect(name, target)
                 await anyio.sleep(one_way_s)
                 reply = await self._upstreams.serve(request)
                 await anyio.sleep(one_way_s)
@@ -214,7 +232,9 @@
             self._idle[name] = self._idle.get(name, 0) + 1
         elif connected:
             self._open[name] -= 1
-            target.connections -= 1
+            # A silent side does not learn that the connection was given up.
+            if not (target.silent or target.lost or self.cut):
+                target.connections -= 1
 
     def open_connections(self, upstream: str) -> int:
         """Return the open connections."""
@@ -224,7 +244,8 @@
         """Close idle connections."""
         idle = self._idle.pop(upstream, 0)
         self._open[upstream] = self._open.get(upstream, 0) - idle
-        self._upstreams.by_name[upstream].connections -= idle
+        if not self.cut:
+            self._upstreams.by_name[upstream].connections -= idle
 
 
 def _error(text: str, kind: UpstreamErrorKind, state: RunState) -> UpstreamError:
--- /dev/null
+++ b/fakes/inprocess/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Whole sessions of instances on virtual time."""
