--- a/fakes/inprocess/_clock.py
+++ b/fakes/inprocess/_clock.py
@@ -39,8 +39,10 @@
         await self.resume.wait()
 
     def freeze(self) -> None:
-        """Stop the instance that has this clock."""
-        self.resume = anyio.Event()
+        """Stop the instance that has this clock, unless it is stopped."""
+        # Tasks wait for the present event, so it must not be replaced.
+        if self.resume.is_set():
+            self.resume = anyio.Event()
 
     def thaw(self) -> None:
         """Let it go on."""
--- a/fakes/inprocess/_upstreams.py
+++ b/fakes/inprocess/_upstreams.py
@@ -192,6 +192,7 @@
         one_way_s = self._latency_ms(upstream.data_centre) / 1000
         connected = False
         reusable = False
+        is_reset = False
         try:
             with anyio.fail_after(timeout_ms / 1000):
                 if self.cut:
@@ -205,6 +206,7 @@
             return reply
         except UpstreamError as error:
             reusable = error.run_state is RunState.NOT_RUN
+            is_reset = error.kind is UpstreamErrorKind.RESET
             raise
         except TimeoutError as error:
             raise _error(
@@ -214,7 +216,10 @@
             self._release(name, target, connected=connected, reusable=reusable)
             if not reusable and not (target.silent or target.lost or self.cut):
                 observer.connection_gone()
-                observer.work_ended()
+                # A reset is no confirmation that the request was stopped; with one
+                # the gate would not record the request as the cause of a break.
+                if not is_reset:
+                    observer.work_ended()
 
     async def _connect(self, name: str, target: FakeUpstream) -> None:
         if self._idle.get(name, 0) > 0:
