--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := packages/cuminbend packages/cuminbendd packages/cuminbendctl
 STAMP := $(VENV)/installed
-SOURCES := packages fakes benchmarks examples
+SOURCES := packages fakes benchmarks examples conftest.py
 
 .PHONY: install test check demo bench format lint types imports proto fuzz
 
--- a/packages/cuminbendd/src/cuminbendd/searchers/_connections.py
+++ b/packages/cuminbendd/src/cuminbendd/searchers/_connections.py
@@ -29,6 +29,7 @@
         host, _, port = address.rpartition(":")
         self._group = group
         self.observer: ExchangeObserver | None = None
+        self.was_reset = False
         self.http = httpcore.AsyncHTTPConnection(
             origin=httpcore.Origin(b"http", host.strip("[]").encode(), int(port)),
             retries=0,
@@ -48,7 +49,9 @@
         if await stream.finish() and observer is not None:
             observer.connection_gone()
             # An upstream takes a closed connection as the cancellation of its request.
-            observer.work_ended()
+            # A reset is no such confirmation: the upstream may have crashed on it.
+            if not self.was_reset:
+                observer.work_ended()
 
 
 @dataclass
@@ -160,6 +163,7 @@
                 run_state=RunState.UNKNOWN,
             ) from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            connection.was_reset = True
             raise UpstreamError(
                 f"upstream {upstream.upstream} broke the connection ({error}); it "
                 "may have crashed",
