Book searches on members' accounts with their deadline, kind and error

Cause: the adapter of the daemon booked every request as a search, every answer as in time and every failure as unavailable, so reports per member were wrong.

Change: searches report the kind of each request, their deadline and their error.

--- a/packages/cuminbend/src/cuminbend/query/_attempts.py
+++ b/packages/cuminbend/src/cuminbend/query/_attempts.py
@@ -245,7 +245,7 @@
                 self._selector.doubt(upstream, snapshot)
         finally:
             # Also reached by cancellation, with neither reply nor error.
-            self._record(context, key[0], outcome, started_at_ms)
+            self._record(context, key[0], kind, outcome, started_at_ms)
         return outcome
 
     def _request(
@@ -298,6 +298,7 @@
         self,
         context: SearchContext,
         service: str,
+        kind: WorkKind,
         outcome: Outcome,
         started_at_ms: float,
     ) -> None:
@@ -327,6 +328,7 @@
         self._accounts.attempt(
             member=context.search.request.member,
             service=service,
+            kind=kind,
             outcome=text,
             latency_ms=latency_ms,
         )
--- a/packages/cuminbend/src/cuminbend/query/_base.py
+++ b/packages/cuminbend/src/cuminbend/query/_base.py
@@ -4,7 +4,8 @@
 from typing import Protocol
 
 from cuminbend.config import Configuration
-from cuminbend.messages import Snapshot, UpstreamRecord
+from cuminbend.exceptions import RequestFailedError
+from cuminbend.messages import Snapshot, UpstreamRecord, WorkKind
 
 
 class LeasePort(Protocol):
@@ -61,19 +62,43 @@
         service: str,
         outcome: str,
         latency_ms: float,
+        deadline_ms: float,
         shards_total: int,
         shards_answered: int,
+        error: RequestFailedError | None,
     ) -> None:
-        """Record a search; ``service`` is its target and ``outcome`` ``ok``,
-        ``partial``, ``cancelled`` or the class name of its error.
-        """  # noqa: D205
+        """Record a search.
+
+        Args:
+            member: Member on whose behalf.
+            service: Target, a service or a group.
+            outcome: ``ok``, ``partial``, ``cancelled`` or the class name of its error.
+            latency_ms: Time from its arrival.
+            deadline_ms: Time that it had.
+            shards_total: Declared shards, 0 without an answer.
+            shards_answered: Shards answered in full.
+            error: Why it failed, or None.
+        """
 
     def attempt(
-        self, *, member: str, service: str, outcome: str, latency_ms: float
+        self,
+        *,
+        member: str,
+        service: str,
+        kind: WorkKind,
+        outcome: str,
+        latency_ms: float,
     ) -> None:
-        """Record an attempt; ``outcome`` is ``ok``, ``partial``, ``cancelled``, the
-        kind of an upstream error or the class name of another error.
-        """  # noqa: D205
+        """Record a request to an upstream.
+
+        Args:
+            member: Member on whose behalf.
+            service: Service of the shard.
+            kind: Why it was sent.
+            outcome: ``ok``, ``partial``, ``cancelled``, the kind of an upstream error
+                or the class name of another error.
+            latency_ms: Time that it took.
+        """
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/cuminbend/src/cuminbend/query/_coordinator.py
+++ b/packages/cuminbend/src/cuminbend/query/_coordinator.py
@@ -105,13 +105,14 @@
         started_at_ms = self._clock.monotonic_ms()
         self._in_progress += 1
         outcome, total, answered = "cancelled", 0, 0
+        failure: RequestFailedError | None = None
         try:
             answer = await self._search(request, started_at_ms)
             total, answered = answer.shards_total, answer.shards_answered
             outcome = "ok" if answered == total else "partial"
             return answer
         except RequestFailedError as error:
-            outcome = type(error).__name__
+            outcome, failure = type(error).__name__, error
             raise
         finally:
             self._in_progress -= 1
@@ -120,8 +121,10 @@
                 service=request.target,
                 outcome=outcome,
                 latency_ms=self._clock.monotonic_ms() - started_at_ms,
+                deadline_ms=self._deadline_ms(request),
                 shards_total=total,
                 shards_answered=answered,
+                error=failure,
             )
 
     async def _search(
@@ -164,6 +167,14 @@
             raise failure or _make_failure(context, best, timed_out=timed_out)
         return self._make_answer(context, best)
 
+    def _deadline_ms(self, request: SearchRequest) -> float:
+        if request.deadline_ms is not None:
+            return request.deadline_ms
+        configuration = self._view.configuration
+        members = configuration.members_by_name if configuration else {}
+        member = members.get(request.member)
+        return member.default_deadline_ms if member else 0.0
+
     def _member_share(self, member: str) -> float:
         configuration = self._view.configuration
         members = configuration.members_by_name if configuration else {}
--- a/packages/cuminbend/src/cuminbend/query/tests/_cluster.py
+++ b/packages/cuminbend/src/cuminbend/query/tests/_cluster.py
@@ -27,6 +27,7 @@
     Snapshot,
     UpstreamRecord,
     UpstreamState,
+    WorkKind,
 )
 from cuminbend.query import QueryCoordinator, QuerySettings, SearchAnswer, SearchRequest
 
@@ -212,7 +213,13 @@
         self.searches.append(counts)
 
     def attempt(
-        self, *, member: str, service: str, outcome: str, latency_ms: float
+        self,
+        *,
+        member: str,
+        service: str,
+        kind: WorkKind,
+        outcome: str,
+        latency_ms: float,
     ) -> None:
         assert latency_ms >= 0
         self.attempts[outcome] += 1
--- a/packages/cuminbendd/src/cuminbendd/_observers.py
+++ b/packages/cuminbendd/src/cuminbendd/_observers.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from cuminbend.accounts import MemberAccounts
-from cuminbend.exceptions import UnavailableError
+from cuminbend.exceptions import RequestFailedError
 from cuminbend.messages import WorkKind
 from cuminbend.sessions import SessionView
 
@@ -35,28 +35,34 @@
         service: str,
         outcome: str,
         latency_ms: float,
+        deadline_ms: float,
         shards_total: int,
         shards_answered: int,
+        error: RequestFailedError | None,
     ) -> None:
-        """Book a search that ended."""
-        if outcome in ("ok", "partial"):
+        """Book a search that ended; one that its caller cancelled counts nowhere."""
+        if error is not None:
+            self._accounts.refused(member=member, service=service, error=error)
+        elif shards_total:
             self._accounts.search_finished(
                 member=member,
                 service=service,
                 latency_ms=latency_ms,
-                deadline_ms=float("inf"),
+                deadline_ms=deadline_ms,
                 coverage=shards_answered / shards_total,
             )
-        else:
-            self._accounts.refused(
-                member=member, service=service, error=UnavailableError(outcome)
-            )
 
     def attempt(
-        self, *, member: str, service: str, outcome: str, latency_ms: float
+        self,
+        *,
+        member: str,
+        service: str,
+        kind: WorkKind,
+        outcome: str,
+        latency_ms: float,
     ) -> None:
         """Book a request to an upstream."""
-        self._accounts.attempt(member=member, service=service, kind=WorkKind.SEARCH)
+        self._accounts.attempt(member=member, service=service, kind=kind)
 
 
 def dump_view(view: SessionView) -> dict[str, Any]:
