Let latencies of all services stand in for a service with few samples

Cause: with 8 instances a service gets few requests a second from each, so hedges used the initial delay of 20 ms for seconds after a start.

Change: below min_samples the quantiles of all services of the instance are used.

--- a/packages/cuminbend/src/cuminbend/query/_attempts.py
+++ b/packages/cuminbend/src/cuminbend/query/_attempts.py
@@ -93,9 +93,12 @@
 class ServiceBudget:
     """Latency and retry budget of one service."""
 
-    def __init__(self, *, settings: QuerySettings, hedges: HedgeBudget) -> None:
+    def __init__(
+        self, *, settings: QuerySettings, hedges: HedgeBudget, pooled: LatencyEstimate
+    ) -> None:
         self._settings = settings
         self._hedges = hedges
+        self._pooled = pooled
         self.latency = LatencyEstimate(window=settings.latency_window)
         self.retries = TokenBudget(
             ratio=settings.retry_ratio, burst=settings.retry_burst
@@ -104,8 +107,12 @@
     @property
     def hedge_delay_ms(self) -> float:
         """Time after which an unanswered attempt is worth a hedge."""
-        p95_ms = self.latency.p95_ms
-        if p95_ms is None or len(self.latency) < self._settings.min_samples:
+        # Until a service has samples of its own here, those of all services stand in:
+        # with 8 instances a service gets few requests a second from each.
+        enough = len(self.latency) >= self._settings.min_samples
+        estimate = self.latency if enough else self._pooled
+        p95_ms = estimate.p95_ms
+        if p95_ms is None or len(estimate) < self._settings.min_samples:
             return self._settings.hedge_initial_ms
         return max(p95_ms, self._settings.hedge_floor_ms) * self._hedges.pressure
 
@@ -203,12 +210,13 @@
         self._numbers = itertools.count(1)
         self._services: dict[str, ServiceBudget] = {}
         self.hedges = HedgeBudget(settings=settings)
+        self._pooled = LatencyEstimate(window=settings.pooled_window)
 
     def service(self, name: str) -> ServiceBudget:
         """Return the budget of a service."""
         if name not in self._services:
             self._services[name] = ServiceBudget(
-                settings=self._settings, hedges=self.hedges
+                settings=self._settings, hedges=self.hedges, pooled=self._pooled
             )
         return self._services[name]
 
@@ -308,6 +316,7 @@
             text = "ok" if outcome.reply.complete else "partial"
             self._board.succeeded(outcome.upstream, latency_ms)
             budget.latency.record(latency_ms)
+            self._pooled.record(latency_ms)
             budget.retries.earn()
         elif outcome.error is not None:
             text = str(outcome.kind or type(outcome.error).__name__)
--- a/packages/cuminbend/src/cuminbend/query/_settings.py
+++ b/packages/cuminbend/src/cuminbend/query/_settings.py
@@ -20,6 +20,8 @@
             shards, every 50th query has a shard whose first hedge is slow too.
         min_samples: Samples from which on the hedge delay follows observations.
         latency_window: Samples per service that the hedge delay is taken from.
+        pooled_window: Samples of all services together that stand in for a service
+            with too few samples.
         overdue_factor: Hedge delays after which an unanswered attempt is taken for
             lost and the retry budget may pay for another one.
         overdue_floor_ms: Shortest time after which an attempt is overdue.
@@ -65,6 +67,7 @@
     max_hedges: int = 2
     min_samples: int = 20
     latency_window: int = 256
+    pooled_window: int = 512
     overdue_factor: float = 4.0
     overdue_floor_ms: float = 50.0
     retry_ratio: float = 0.1
