--- a/packages/cuminbend/src/cuminbend/query/_settings.py
+++ b/packages/cuminbend/src/cuminbend/query/_settings.py
@@ -91,5 +91,5 @@
     decrease_factor: float = 0.9
     congested_factor: float = 4.0
     base_drift: float = 0.002
-    lend_share: float = 0.7
+    lend_share: float = 0.5
     member_active_ms: float = 2000.0
