--- a/fakes/inprocess/_upstreams.py
+++ b/fakes/inprocess/_upstreams.py
@@ -23,7 +23,6 @@
             more the colder it is.
         straggler_share: Share of requests that take ``straggler_factor`` times longer.
         queue_limit: Waiting requests beyond which it sheds.
-        dies_at: Requests in flight at which it breaks even when warm.
         body_breaks: Times that ``crash_body`` broke it.
         connections: Connections open on its side, with those that an instance gave
             up while one of both was unreachable.
--- a/packages/cuminbend/src/cuminbend/query/_attempts.py
+++ b/packages/cuminbend/src/cuminbend/query/_attempts.py
@@ -323,7 +323,8 @@
             context.failures.append(outcome.error)
             self._record_fault(context, outcome, budget, latency_ms)
             _log.debug(
-                "attempt_failed request=%s service=%s upstream=%s outcome=%s run=%s",
+                "event=attempt_failed request=%s service=%s upstream=%s "
+                "outcome=%s run_state=%s",
                 context.search.request.caller_request_id,
                 service,
                 outcome.upstream,
--- a/packages/cuminbend/src/cuminbend/query/_canary.py
+++ b/packages/cuminbend/src/cuminbend/query/_canary.py
@@ -308,7 +308,7 @@
                 self._tried.update(self._view.upstreams)
         elif outcome.kind is UpstreamErrorKind.RESET:
             _log.warning(
-                "canary_broke_upstream fingerprint=%s upstream=%s suspect=%s",
+                "event=canary_broke_upstream fingerprint=%s upstream=%s suspect=%s",
                 self._fingerprint,
                 outcome.upstream,
                 suspect,
--- a/packages/cuminbend/src/cuminbend/query/_fanout.py
+++ b/packages/cuminbend/src/cuminbend/query/_fanout.py
@@ -275,7 +275,7 @@
         self.lost = True
         self._scope.cancel()
         _log.info(
-            "snapshot_lost request=%s snapshot=%s/%s",
+            "event=snapshot_lost request=%s snapshot=%s/%s",
             self._parts.context.search.request.caller_request_id,
             self.snapshot.index_version,
             self.snapshot.partitioning,
--- a/packages/cuminbendctl/src/cuminbendctl/_main.py
+++ b/packages/cuminbendctl/src/cuminbendctl/_main.py
@@ -13,7 +13,7 @@
 from cuminbend.exceptions import ConfigurationError, CuminbendError
 
 from cuminbendctl._client import InstanceClient, RefusedError, UnreachableError
-from cuminbendctl._render import render
+from cuminbendctl._render import render, report_rows
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
@@ -151,7 +151,8 @@
 def report(*, address: Address, json: Json = False) -> int:
     """Show counts and latencies per member, as one instance saw them."""
     client = InstanceClient(addresses=address[:1])
-    _print(client.request("GET", "/v1/report").document, json)
+    document = client.request("GET", "/v1/report").document
+    _print(document if json else {"accounts": report_rows(document)}, json)
     return 0
 
 
--- a/packages/cuminbendctl/src/cuminbendctl/_render.py
+++ b/packages/cuminbendctl/src/cuminbendctl/_render.py
@@ -9,6 +9,30 @@
     return "\n".join(_lines(document, 0))
 
 
+REPORT_COLUMNS = (
+    "service",
+    "answers_in_time",
+    "answers_late",
+    "first_attempts",
+    "hedges",
+    "retries",
+    "extra_load",
+)
+
+
+def report_rows(document: dict[str, Any]) -> list[dict[str, Any]]:
+    """Return one table row per member and service of a report."""
+    return [
+        {
+            "member": member["member"],
+            **{column: row[column] for column in REPORT_COLUMNS},
+            "refused": sum(item["count"] for item in row["refusals"]),
+        }
+        for member in document["members"]
+        for row in member["services"]
+    ]
+
+
 def _lines(value: Any, depth: int) -> Iterator[str]:
     pad = "  " * depth
     if isinstance(value, dict):
