--- a/fakes/local_cluster.py
+++ b/fakes/local_cluster.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import itertools
 import os
 import shutil
 import signal
@@ -24,18 +25,21 @@
 BIN = Path(sys.executable).parent
 WAIT_LIMIT_S = 30.0
 
-_used_ports: set[int] = set()
+_numbers = itertools.count(1)
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that the kernel chose."""
-    while True:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = int(probe.getsockname()[1])
-        if port not in _used_ports:
-            _used_ports.add(port)
-            return f"127.0.0.1:{port}"
+    """Return a loopback address of its own, with a port that the kernel chose.
+
+    Outgoing connections take their ports on 127.0.0.1. A listener there could find its
+    port taken when it is started again, which made restarts fail at random.
+    """
+    number = next(_numbers)
+    process = os.getpid()
+    host = f"127.{1 + process // 250 % 250}.{1 + process % 250}.{1 + number % 250}"
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
 
 
 def wait_until(
