--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/installed
 SOURCES := packages fakes benchmarks examples conftest.py
 
-.PHONY: install test check demo bench format lint types imports proto fuzz
+.PHONY: install test check demo bench format lint types imports proto
 
 install: $(STAMP)
 
