--- a/packages/cuminbend/src/cuminbend/consensus/_core.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_core.py
@@ -83,9 +83,11 @@
         self.led_since_ms: float | None = None
         self.heard_leader_ms = 0.0
         self.commit_index = 0
+        self.leader_commit_index = 0
         self.hinted_voters: tuple[Voter, ...] = ()
         self.disk_works = True
         self.transfer_term = 0
+        self._candidates: dict[str, float] = {}
         self._waiting: dict[int, tuple[int, Proposal]] = {}
         self._changed = anyio.Event()
 
@@ -166,6 +168,17 @@
         silent_ms = self.clock.monotonic_ms() - self.heard_leader_ms
         return silent_ms < self.settings.election_timeout_min_ms
 
+    # Candidates
+
+    def note_candidate(self, instance: str) -> None:
+        """Note that an instance asks to become a voter."""
+        self._candidates[instance] = self.clock.monotonic_ms()
+
+    def recent_candidates(self) -> list[str]:
+        """Return the instances that have asked lately."""
+        since_ms = self.clock.monotonic_ms() - self.settings.candidate_lifetime_ms
+        return [name for name, at_ms in self._candidates.items() if at_ms >= since_ms]
+
     # Role; the lock must be held where a file is written
 
     async def adopt_term(self, term: int) -> None:
--- a/packages/cuminbend/src/cuminbend/consensus/_following.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_following.py
@@ -31,6 +31,7 @@
     async with core.lock:
         if not await _accept_leader(core, request.term, request.leader):
             return _reply(core, request, success=False, last_index=0)
+        _note_leader_commit(core, request.commit_index)
         conflict = _find_conflict(core, request)
         if conflict is not None:
             return _reply(core, request, success=False, last_index=conflict)
@@ -73,6 +74,11 @@
     return True
 
 
+def _note_leader_commit(core: ReplicaCore, commit_index: int) -> None:
+    """Note how far the leader is, so that this replica knows whether it lags."""
+    core.leader_commit_index = max(core.leader_commit_index, commit_index)
+
+
 def _reply(
     core: ReplicaCore, request: AppendRequest, *, success: bool, last_index: int
 ) -> AppendReply:
--- a/packages/cuminbend/src/cuminbend/consensus/_leadership.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_leadership.py
@@ -32,6 +32,8 @@
 logger = logging.getLogger(__name__)
 
 _IDLE_MS = 60_000
+# Below four voters, removing one would leave a number that survives no loss.
+_MIN_VOTERS_TO_REMOVE = 4
 _EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
 
@@ -266,10 +268,7 @@
         """Start the task of each peer, watch the majority, and change the voters."""
         core = self._core
         while True:
-            instances = {voter.instance for voter in self._storage.voters}
-            instances.update(core.settings.initial_voters)
-            instances.discard(core.settings.instance)
-            for instance in sorted(instances - self.peers.keys()):
+            for instance in sorted(self._wanted_peers() - self.peers.keys()):
                 peer = Peer(instance, next_index=self._storage.last_index + 1)
                 self.peers[instance] = peer
                 group.start_soon(self._replicate, peer)
@@ -297,9 +296,21 @@
             )
             core.step_down()
 
+    def _wanted_peers(self) -> set[str]:
+        """Return the instances that are voters, may be voters, or ask to be."""
+        core = self._core
+        instances = {voter.instance for voter in self._storage.voters}
+        instances.update(core.settings.initial_voters)
+        instances.update(core.recent_candidates())
+        instances.discard(core.settings.instance)
+        return instances
+
     async def _replicate(self, peer: Peer) -> None:
         core = self._core
         while True:
+            if peer.instance not in self._wanted_peers():
+                del self.peers[peer.instance]
+                return
             try:
                 progress = await self._exchange(peer)
             except CuminbendError as error:
@@ -464,7 +475,11 @@
             return None
         if any(proposal.kind == "voters" for proposal in self._pending):
             return None
-        return self._superseded_removed() or self._caught_up_added()
+        return (
+            self._superseded_removed()
+            or self._unreachable_removed()
+            or self._caught_up_added()
+        )
 
     def _propose_voters(self, voters: tuple[Voter, ...]) -> None:
         logger.info(
@@ -487,6 +502,28 @@
                 return tuple(v for v in voters if v != voter)
         return None
 
+    def _unreachable_removed(self) -> tuple[Voter, ...] | None:
+        """Return the voters without one that a newcomer has made superfluous.
+
+        A voter that is silent stays while the number of voters is odd, since it may
+        come back with its disk. Once a newcomer has made the number even, the silent
+        one adds to the majority needed and to nothing else.
+        """
+        core, voters = self._core, self._storage.voters
+        if len(voters) < _MIN_VOTERS_TO_REMOVE or len(voters) % 2:
+            return None
+        silent_ms = core.settings.remove_silent_after_ms
+        now_ms = core.clock.monotonic_ms()
+        if now_ms - self._started_ms < silent_ms:
+            return None
+        for voter in sorted(voters, key=self._acknowledged_ms):
+            if voter == core.me or now_ms - self._acknowledged_ms(voter) < silent_ms:
+                continue
+            remaining = tuple(item for item in voters if item != voter)
+            if self._is_reachable(remaining):
+                return remaining
+        return None
+
     def _caught_up_added(self) -> tuple[Voter, ...] | None:
         """Return the voters with one more that has all committed entries."""
         voters = self._storage.voters
--- a/packages/cuminbend/src/cuminbend/consensus/_replica.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_replica.py
@@ -155,6 +155,36 @@
             raise NotLeaderError(self.leader)
         return await leadership.propose(data, timeout_ms)
 
+    def admit(self, instance: str) -> None:
+        """Let an instance become a voter once it has caught up, if this one leads.
+
+        The candidate repeats its request at intervals below
+        ``candidate_lifetime_ms``; whichever instance leads meanwhile acts on it.
+        """
+        self._core.note_candidate(instance)
+
+    def is_current(self, *, within_ms: float) -> bool:
+        """Return whether this replica has what the cluster has decided.
+
+        Args:
+            within_ms: Age up to which a sign of the majority or of the leader counts.
+        """
+        core = self._core
+        now_ms = self._clock.monotonic_ms()
+        if core.role is Role.LEADER:
+            confirmed_ms = self.confirmed_at_ms()
+            return confirmed_ms is not None and now_ms - confirmed_ms < within_ms
+        return (
+            core.leader is not None
+            and now_ms - core.heard_leader_ms < within_ms
+            and core.commit_index >= max(core.leader_commit_index, 1)
+        )
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this disk is among the latest voters of its log."""
+        return self._core.is_voter
+
     async def transfer_leadership(self) -> bool:
         """Hand over to the voter that is furthest.
 
--- a/packages/cuminbend/src/cuminbend/consensus/_settings.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_settings.py
@@ -10,6 +10,8 @@
     Attributes:
         instance: Name of this instance.
         initial_voters: Instances that have a disk; the same on all of them.
+        bootstraps: Whether a new cluster may be started; False on an instance that is
+            added to a cluster or whose disk was replaced.
         rpc_timeout_ms: Limit of one message; below the minimum election timeout, so
             that one lost heartbeat does not start an election.
         snapshot_timeout_ms: Limit of sending a whole snapshot.
@@ -22,10 +24,15 @@
         max_uncommitted_entries: Proposals are refused beyond this, because the log
             cannot be compacted while no majority takes entries.
         disk_retry_ms: Pause after a failed write before the disk is tried again.
+        candidate_lifetime_ms: Time for which a request to become a voter counts;
+            candidates repeat it.
+        remove_silent_after_ms: Silence after which a voter may be removed, once a
+            newcomer has taken its place. Two elections fit into it.
     """
 
     instance: str
     initial_voters: tuple[str, ...]
+    bootstraps: bool = True
     heartbeat_ms: float = 100
     election_timeout_min_ms: float = 600
     election_timeout_max_ms: float = 1200
@@ -37,3 +44,5 @@
     max_batch_bytes: int = 1 << 20
     max_uncommitted_entries: int = 5000
     disk_retry_ms: float = 1000
+    candidate_lifetime_ms: float = 5000
+    remove_silent_after_ms: float = 2500
--- a/packages/cuminbend/src/cuminbend/exceptions.py
+++ b/packages/cuminbend/src/cuminbend/exceptions.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "ApplyConflictError",
+    "ChannelError",
     "ConfigurationError",
     "CorruptDataError",
     "CuminbendError",
@@ -110,6 +111,13 @@
         )
 
 
+class ChannelError(CuminbendError):
+    """A connection to another instance ended, was never made, or is unreadable.
+
+    Whether the other instance acted on what was sent is not known.
+    """
+
+
 class RequestFailedError(CuminbendError):
     """A caller's request or a shard request failed.
 
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/forwarding/__init__.py
@@ -0,0 +1,40 @@
+"""Decisions about a request that is passed on to upstreams unchanged."""
+
+from cuminbend.forwarding._gather import Gather, Part, merge_greatest
+from cuminbend.forwarding._hedging import HedgeDelay
+from cuminbend.forwarding._replicas import (
+    PlacementSettings,
+    Replica,
+    ReplicaGroup,
+    ReplicaState,
+)
+from cuminbend.forwarding._retry_budgets import RetryBudgets, RetryBudgetSettings
+from cuminbend.forwarding._routes import (
+    CallerLimits,
+    Route,
+    RoutingTable,
+    ServicePolicy,
+    WeightedService,
+    check_routing_table,
+)
+from cuminbend.forwarding._weights import WeightedChoice
+
+__all__ = [
+    "CallerLimits",
+    "Gather",
+    "HedgeDelay",
+    "Part",
+    "PlacementSettings",
+    "Replica",
+    "ReplicaGroup",
+    "ReplicaState",
+    "RetryBudgetSettings",
+    "RetryBudgets",
+    "Route",
+    "RoutingTable",
+    "ServicePolicy",
+    "WeightedChoice",
+    "WeightedService",
+    "check_routing_table",
+    "merge_greatest",
+]
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -0,0 +1,246 @@
+"""Which upstream of a service gets the next attempt."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class ReplicaState(StrEnum):
+    """Whether an upstream takes new work."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlacementSettings:
+    """Weights of the choice among replicas.
+
+    Attributes:
+        remote_cost: Factor on the score of a replica in another data centre. Traffic
+            between data centres has a price, so the own one is preferred until its
+            replica is about this much slower or busier.
+        overdue_cost: Added to the score for each attempt of this instance that has
+            been waiting longer than the hedge delay: the replica is probably paused.
+        failure_cost: Added to the score of a replica that failed every recent attempt.
+        sample_weight: Weight of a new sample in the moving averages.
+        forget_ms: Time in which an average without samples loses half its distance
+            from the default, so that a replica that was slow is tried again.
+        backoff_min_ms: Time without attempts after a first failed connection.
+        backoff_max_ms: Longest time without attempts.
+        max_overdue: Overdue attempts at which a replica gets no more.
+    """
+
+    remote_cost: float = 2.0
+    overdue_cost: float = 8.0
+    failure_cost: float = 6.0
+    sample_weight: float = 0.25
+    forget_ms: float = 3000.0
+    backoff_min_ms: float = 150.0
+    backoff_max_ms: float = 2000.0
+    max_overdue: int = 3
+
+
+class Replica:
+    """An upstream as one instance sees it.
+
+    Attributes:
+        upstream: Its identity, new for most starts.
+        incarnation_ms: Start of the process behind the identity.
+        cold_until_ms: Monotonic time until which it bears only little.
+        in_flight: Attempts of this instance that it has not answered.
+        overdue: Those of them that have passed the hedge delay.
+        slowness: Moving average of latency over the route's median.
+        failure_rate: Moving average of failed attempts, 0 to 1.
+    """
+
+    __slots__ = (
+        "_failures",
+        "_updated_ms",
+        "address",
+        "backoff_until_ms",
+        "cold_until_ms",
+        "data_centre",
+        "failure_rate",
+        "in_flight",
+        "incarnation_ms",
+        "overdue",
+        "queued",
+        "queued_at_ms",
+        "service",
+        "settings",
+        "slots",
+        "slowness",
+        "state",
+        "upstream",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: PlacementSettings,
+        upstream: str,
+        incarnation_ms: int,
+        service: str,
+        address: tuple[str, int],
+        data_centre: str,
+        slots: int,
+    ) -> None:
+        self.settings = settings
+        self.upstream = upstream
+        self.incarnation_ms = incarnation_ms
+        self.service = service
+        self.address = address
+        self.data_centre = data_centre
+        self.slots = max(1, slots)
+        self.state = ReplicaState.READY
+        self.cold_until_ms = 0.0
+        self.backoff_until_ms = 0.0
+        self.in_flight = 0
+        self.overdue = 0
+        self.slowness = 1.0
+        self.failure_rate = 0.0
+        self.queued = 0
+        self.queued_at_ms = 0.0
+        self._failures = 0
+        self._updated_ms = 0.0
+
+    def note_answer(
+        self, *, latency_ms: float, median_ms: float, now_ms: float
+    ) -> None:
+        """Note an attempt that was answered in full."""
+        self._forget(now_ms)
+        weight = self.settings.sample_weight
+        ratio = min(20.0, latency_ms / max(median_ms, 1.0))
+        self.slowness += weight * (ratio - self.slowness)
+        self.failure_rate -= weight * self.failure_rate
+        self._failures = 0
+        self.backoff_until_ms = 0.0
+
+    def note_error(self, *, now_ms: float) -> None:
+        """Note an attempt that the replica answered with an error of its own."""
+        self._forget(now_ms)
+        self.failure_rate += self.settings.sample_weight * (1 - self.failure_rate)
+
+    def note_rejection(self, *, now_ms: float, pause_ms: float) -> None:
+        """Note an attempt that the replica rejected because it is full."""
+        self._forget(now_ms)
+        self.backoff_until_ms = max(self.backoff_until_ms, now_ms + pause_ms)
+
+    def note_broken(self, *, now_ms: float) -> None:
+        """Note a connection that failed, or an attempt that was never answered."""
+        self.note_error(now_ms=now_ms)
+        settings = self.settings
+        pause_ms = min(
+            settings.backoff_max_ms, settings.backoff_min_ms * 2**self._failures
+        )
+        self._failures = min(self._failures + 1, 10)
+        self.backoff_until_ms = max(self.backoff_until_ms, now_ms + pause_ms)
+
+    def note_load(self, *, queued: int, now_ms: float) -> None:
+        """Note the requests that the replica says are waiting."""
+        self.queued = queued
+        self.queued_at_ms = now_ms
+
+    def score(self, now_ms: float, data_centre: str) -> float:
+        """Return the expected cost of one more attempt; lower is better."""
+        self._forget(now_ms)
+        settings = self.settings
+        queued = self.queued if now_ms - self.queued_at_ms < 100.0 else 0
+        waiting = (self.in_flight + queued) / self.slots
+        cost = self.slowness * (1.0 + waiting)
+        if self.data_centre != data_centre:
+            cost *= settings.remote_cost
+        cost += settings.overdue_cost * self.overdue
+        return cost + settings.failure_cost * self.failure_rate
+
+    def _forget(self, now_ms: float) -> None:
+        age_ms = now_ms - self._updated_ms
+        if age_ms < 50.0:
+            return
+        self._updated_ms = now_ms
+        keep = 0.5 ** (age_ms / self.settings.forget_ms)
+        self.slowness = 1.0 + (self.slowness - 1.0) * keep
+        self.failure_rate *= keep
+
+
+class ReplicaGroup:
+    """The replicas of one service.
+
+    Args:
+        service: Name of the service.
+        data_centre: Data centre of this instance.
+    """
+
+    def __init__(self, *, service: str, data_centre: str) -> None:
+        self.service = service
+        self.replicas: list[Replica] = []
+        self._data_centre = data_centre
+        self._turn = 0
+
+    def add(self, replica: Replica) -> None:
+        """Add a replica, in place of one with the same identity."""
+        self.remove(replica.upstream)
+        self.replicas.append(replica)
+
+    def remove(self, upstream: str) -> None:
+        """Remove a replica if it is there."""
+        self.replicas = [item for item in self.replicas if item.upstream != upstream]
+
+    def choose(
+        self,
+        *,
+        now_ms: float,
+        excluded: Collection[str] = (),
+        evacuated: Collection[str] = (),
+    ) -> Replica | None:
+        """Return the warm replica with the lowest cost, or None if none takes work.
+
+        Args:
+            now_ms: Monotonic time.
+            excluded: Upstreams that this request was sent to before.
+            evacuated: Data centres that get no work.
+        """
+        best: Replica | None = None
+        best_score = float("inf")
+        count = len(self.replicas)
+        self._turn += 1
+        # The start moves so that equal replicas share the work.
+        for step in range(count):
+            replica = self.replicas[(self._turn + step) % count]
+            if not self._takes_work(replica, now_ms, evacuated):
+                continue
+            if replica.cold_until_ms > now_ms or replica.upstream in excluded:
+                continue
+            score = replica.score(now_ms, self._data_centre)
+            if score < best_score:
+                best, best_score = replica, score
+        return best
+
+    def choose_cold(
+        self,
+        *,
+        now_ms: float,
+        excluded: Collection[str] = (),
+        evacuated: Collection[str] = (),
+    ) -> Replica | None:
+        """Return a cold replica without work in flight, or None."""
+        for replica in self.replicas:
+            if (
+                replica.cold_until_ms > now_ms
+                and not replica.in_flight
+                and replica.upstream not in excluded
+                and self._takes_work(replica, now_ms, evacuated)
+            ):
+                return replica
+        return None
+
+    def _takes_work(
+        self, replica: Replica, now_ms: float, evacuated: Collection[str]
+    ) -> bool:
+        return (
+            replica.state is ReplicaState.READY
+            and replica.backoff_until_ms <= now_ms
+            and replica.overdue < replica.settings.max_overdue
+            and replica.data_centre not in evacuated
+        )
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/newest/__init__.py
@@ -0,0 +1,21 @@
+"""Replicated state in which the configuration with the highest version holds."""
+
+from cuminbend.newest._state import (
+    Command,
+    NewestState,
+    SetConfiguration,
+    SetEvacuated,
+    StoredConfiguration,
+    decode_command,
+    encode_command,
+)
+
+__all__ = [
+    "Command",
+    "NewestState",
+    "SetConfiguration",
+    "SetEvacuated",
+    "StoredConfiguration",
+    "decode_command",
+    "encode_command",
+]
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/channel/_frames.py
@@ -0,0 +1,141 @@
+"""Frames: a length, then a msgpack array of call id, kind and message."""
+
+import asyncio
+import struct
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+from cuminbend.exceptions import ChannelError
+
+_LENGTH = struct.Struct("<I")
+# Above the largest snapshot: a configuration of thousands of routes takes 1 MB.
+_MAX_FRAME_BYTES = 64 << 20
+
+
+class Frame(msgspec.Struct, array_like=True):
+    """One message on the wire.
+
+    Attributes:
+        call_id: Pairs a reply with its request; 0 on a stream.
+        kind: Name of the message's type.
+    """
+
+    call_id: int
+    kind: str
+    body: msgspec.Raw
+
+
+class Codec:
+    """Encodes messages of a fixed set of types.
+
+    Args:
+        types: Data classes or structs; their names tell them apart on the wire.
+    """
+
+    def __init__(self, types: Iterable[type[Any]]) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._frames = msgspec.msgpack.Decoder(Frame)
+        self._decoders = {
+            kind.__name__: msgspec.msgpack.Decoder(kind) for kind in types
+        }
+
+    def encode(self, call_id: int, message: Any) -> bytes:
+        """Return a whole frame."""
+        kind = type(message).__name__
+        body = msgspec.Raw(self._encoder.encode(message))
+        content = self._encoder.encode(Frame(call_id, kind, body))
+        return _LENGTH.pack(len(content)) + content
+
+    def decode(self, content: bytes) -> tuple[int, Any]:
+        """Return call id and message of a frame without its length.
+
+        Raises:
+            ChannelError: If the frame cannot be read.
+        """
+        try:
+            frame = self._frames.decode(content)
+            return frame.call_id, self._decoders[frame.kind].decode(frame.body)
+        except (msgspec.MsgspecError, KeyError) as error:
+            raise ChannelError(
+                f"a peer sent a message that cannot be read ({error}); run the same "
+                "version on all instances"
+            ) from error
+
+
+class FrameStream:
+    """Frames over one connection."""
+
+    def __init__(
+        self,
+        codec: Codec,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._codec = codec
+        self._reader = reader
+        self._writer = writer
+
+    async def read(self) -> tuple[int, Any]:
+        """Return the next call id and message.
+
+        Raises:
+            ChannelError: If the connection ended or carries something else.
+        """
+        try:
+            head = await self._reader.readexactly(_LENGTH.size)
+            (size_bytes,) = _LENGTH.unpack(head)
+            if size_bytes > _MAX_FRAME_BYTES:
+                raise ChannelError("a peer sent an oversized frame")
+            content = await self._reader.readexactly(size_bytes)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            raise ChannelError(f"a peer closed its connection: {error}") from (error)
+        return self._codec.decode(content)
+
+    async def write(self, message: Any, *, call_id: int = 0) -> None:
+        """Send a message, waiting while the peer does not read.
+
+        Raises:
+            ChannelError: If the connection is closed.
+        """
+        try:
+            self._writer.write(self._codec.encode(call_id, message))
+            await self._writer.drain()
+        except (OSError, RuntimeError) as error:
+            raise ChannelError(f"a peer closed its connection: {error}") from (error)
+
+    def close(self) -> None:
+        """Close the connection without waiting for the peer."""
+        self._writer.transport.abort()
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``.
+
+    Raises:
+        ValueError: If there is no port.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not host:
+        raise ValueError(f"{address!r} is no address; write host:port")
+    return host, int(port)
+
+
+def format_address(host: str, port: int) -> str:
+    """Return ``host:port``."""
+    return f"{host}:{port}"
+
+
+async def open_stream(codec: Codec, address: str, *, timeout_ms: float) -> FrameStream:
+    """Connect to a channel server.
+
+    Raises:
+        ChannelError: If there is no connection within ``timeout_ms``.
+    """
+    host, port = parse_address(address)
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            reader, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError) as error:
+        raise ChannelError(f"{address} does not accept: {error!r}") from error
+    return FrameStream(codec, reader, writer)
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
@@ -0,0 +1,182 @@
+"""One attempt at one upstream, and what its outcome tells about the upstream."""
+
+import logging
+from collections.abc import Callable
+from enum import StrEnum
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from cuminbend.forwarding import HedgeDelay, Replica
+
+from cuminbendd.entry._pool import ConnectionPool
+from cuminbendd.http1 import FailureKind, UpstreamConnection, UpstreamResponse
+
+if TYPE_CHECKING:
+    from cuminbendd.entry._upstreams import UpstreamDirectory
+
+logger = logging.getLogger(__name__)
+
+# Pause after a rejection: about the time in which a searcher finishes a request.
+_REJECTION_PAUSE_MS = 40.0
+
+
+# An upstream answers at the deadline it was given; a connection that says nothing
+# this long after it has probably gone silent for good.
+_SILENCE_MARGIN_MS = 250.0
+
+
+class Outcome(StrEnum):
+    """How an attempt ended.
+
+    ``ANSWERED`` is a success; ``ERROR`` a failure of the upstream's own; ``NOT_RUN``
+    is certain not to have run; of ``UNKNOWN`` nobody knows.
+    """
+
+    ANSWERED = "answered"
+    ERROR = "error"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Attempt:
+    """A request on its way to one upstream.
+
+    Attributes:
+        replica: The upstream.
+        started_ms: When it was handed to the pool.
+        expires_ms: When its connection counts as silent.
+        is_overdue: Whether it has waited longer than the hedge delay.
+        on_done: Called once with the outcome and, if there is one, the response.
+    """
+
+    __slots__ = (
+        "_directory",
+        "_encode",
+        "_hedging",
+        "_pool",
+        "_sent",
+        "connection",
+        "expires_ms",
+        "is_done",
+        "is_idempotent",
+        "is_overdue",
+        "on_done",
+        "replica",
+        "request_id",
+        "started_ms",
+    )
+
+    def __init__(
+        self,
+        *,
+        directory: "UpstreamDirectory",
+        pool: ConnectionPool,
+        request_id: bytes,
+        is_idempotent: bool,
+        hedging: HedgeDelay,
+        deadline_ms: float,
+        encode: Callable[["Attempt"], bytes | None],
+        on_done: Callable[["Attempt", Outcome, UpstreamResponse | None], None],
+    ) -> None:
+        self._directory = directory
+        self._pool = pool
+        self._hedging = hedging
+        self._encode = encode
+        self._sent = False
+        self.connection: UpstreamConnection | None = None
+        self.replica: Replica = pool.replica
+        self.request_id = request_id
+        self.is_idempotent = is_idempotent
+        self.on_done = on_done
+        self.expires_ms = deadline_ms + _SILENCE_MARGIN_MS
+        self.is_overdue = False
+        self.is_done = False
+        self.started_ms = directory.clock.monotonic_ms()
+
+    def start(self) -> None:
+        """Send it, or wait for a connection."""
+        self.replica.in_flight += 1
+        self._pool.submit(self)
+
+    def mark_overdue(self) -> None:
+        """Note that it has waited longer than the hedge delay."""
+        if not self.is_overdue and not self.is_done:
+            self.is_overdue = True
+            self.replica.overdue += 1
+
+    def withdraw(self) -> bool:
+        """Take it back if no byte of it was sent; return whether that holds now."""
+        if not self.is_done and self._pool.withdraw(self):
+            self._finish(Outcome.NOT_RUN, None)
+        return not self._sent
+
+    def abandon(self) -> None:
+        """End it: take it back if it was not sent, else close its connection."""
+        if not self.is_done and not self.withdraw():
+            assert self.connection is not None
+            self.connection.close()
+
+    def encode(self) -> bytes | None:
+        """Return the bytes to send; see :class:`PooledAttempt`."""
+        data = self._encode(self)
+        if data is None:
+            self._finish(Outcome.NOT_RUN, None)
+            return None
+        self._sent = True
+        return data
+
+    def on_response(self, response: UpstreamResponse) -> None:
+        """Take the response and judge it."""
+        now_ms = self._directory.clock.monotonic_ms()
+        dialect = self._directory.dialect
+        load = response.header(dialect.load)
+        if load is not None:
+            self._note_load(load, now_ms)
+        if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+            self._directory.note_misdirected(self.replica)
+            self._finish(Outcome.NOT_RUN, response)
+        elif response.header(dialect.not_run) is not None:
+            self.replica.note_rejection(now_ms=now_ms, pause_ms=_REJECTION_PAUSE_MS)
+            self._finish(Outcome.NOT_RUN, response)
+        elif response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            self.replica.note_error(now_ms=now_ms)
+            self._finish(Outcome.ERROR, response)
+        else:
+            latency_ms = now_ms - self.started_ms
+            self._hedging.record(latency_ms)
+            self.replica.note_answer(
+                latency_ms=latency_ms,
+                median_ms=self._hedging.median_ms,
+                now_ms=now_ms,
+            )
+            self._finish(Outcome.ANSWERED, response)
+
+    def on_failure(self, kind: FailureKind) -> None:
+        """Note that there is no response."""
+        if kind is not FailureKind.ABANDONED and self._sent:
+            self.replica.note_broken(now_ms=self._directory.clock.monotonic_ms())
+        logger.info(
+            "event=attempt_failed request=%s upstream=%s service=%s cause=%s sent=%s "
+            "failure_rate=%.2f",
+            self.request_id.decode("latin-1"),
+            self.replica.upstream,
+            self.replica.service,
+            kind,
+            self._sent,
+            self.replica.failure_rate,
+        )
+        self._finish(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN, None)
+
+    def _note_load(self, load: bytes, now_ms: float) -> None:
+        fields = load.split(b",")
+        if len(fields) == 3 and fields[1].strip().isdigit():
+            self.replica.note_load(queued=int(fields[1]), now_ms=now_ms)
+
+    def _finish(self, outcome: Outcome, response: UpstreamResponse | None) -> None:
+        if self.is_done:
+            return
+        self.is_done = True
+        self.replica.in_flight -= 1
+        if self.is_overdue:
+            self.replica.overdue -= 1
+        self.on_done(self, outcome, response)
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -0,0 +1,157 @@
+"""What forwarded and fanned-out requests have in common."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from cuminbend.forwarding import (
+    HedgeDelay,
+    RetryBudgets,
+    Route,
+    RoutingTable,
+    WeightedChoice,
+)
+
+from cuminbendd.entry._attempts import Attempt
+from cuminbendd.entry._dialect import Dialect
+from cuminbendd.entry._settings import EntrySettings
+from cuminbendd.entry._upstreams import UpstreamDirectory
+from cuminbendd.http1 import HttpRequest, HttpResponse
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+_CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_MIN_RETRY_AFTER_MS = 30.0
+
+
+def end_to_end(
+    headers: Iterable[tuple[bytes, bytes]], *, dropped: Iterable[bytes] = ()
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers that are forwarded."""
+    headers = list(headers)
+    removed = {*_CONNECTION_HEADERS, *dropped}
+    for name, value in headers:
+        if name == b"connection":
+            removed.update(item.strip().lower() for item in value.split(b","))
+    return [item for item in headers if item[0] not in removed]
+
+
+@dataclass(slots=True)
+class RouteState:
+    """What an instance has learnt about a route."""
+
+    hedging: HedgeDelay
+    weights: WeightedChoice | None
+
+
+class ForwardingContext:
+    """What every request needs; one per instance.
+
+    Attributes:
+        table: Configuration in force, or None before the first one.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        dialect: Dialect,
+        upstreams: UpstreamDirectory,
+        retries: RetryBudgets,
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.upstreams = upstreams
+        self.retries = retries
+        self.clock = upstreams.clock
+        self.table: RoutingTable | None = None
+        self._states: dict[str, RouteState] = {}
+
+    def set_table(self, table: RoutingTable) -> None:
+        """Put a configuration in force, keeping what was learnt of its routes."""
+        states = {}
+        for route in table.routes:
+            weights = None
+            if route.backends:
+                weights = WeightedChoice(route.backends, offset=random.random())
+            known = self._states.get(route.name)
+            hedging = known.hedging if known else None
+            states[route.name] = RouteState(
+                hedging=hedging or HedgeDelay(objective_ms=route.objective_ms),
+                weights=weights,
+            )
+        self._states = states
+        self.table = table
+
+    def state_of(self, route: Route) -> RouteState:
+        """Return what is known about a route of the configuration in force."""
+        return self._states[route.name]
+
+
+class PreparedRequest:
+    """The part of a forwarded request that is the same for every attempt."""
+
+    def __init__(
+        self, request: HttpRequest, *, dialect: Dialect, deadline_ms: float
+    ) -> None:
+        self._dialect = dialect
+        self.deadline_ms = deadline_ms
+        self.request_id = request.header(dialect.request_id) or b""
+        dropped = (dialect.deadline, dialect.expected_upstream)
+        head = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
+        head += [
+            b"%s: %s\r\n" % item
+            for item in end_to_end(request.headers, dropped=dropped)
+        ]
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+            head.append(b"content-length: %d\r\n" % len(request.body))
+        self._head = b"".join(head)
+        self._body = request.body
+
+    def encode(self, attempt: Attempt, now_ms: float) -> bytes | None:
+        """Return the bytes for one upstream, or None if no time is left."""
+        left_ms = int(self.deadline_ms - now_ms)
+        if left_ms < 1:
+            return None
+        return b"%s%s: %s\r\n%s: %d\r\n\r\n%s" % (
+            self._head,
+            self._dialect.expected_upstream,
+            attempt.replica.upstream.encode(),
+            self._dialect.deadline,
+            left_ms,
+            self._body,
+        )
+
+
+def rejection(*, retry_after_ms: float) -> HttpResponse:
+    """Return the answer to a request that did not run and never will.
+
+    The time to come back is spread, so that callers rejected together do not return
+    together.
+    """
+    spread_ms = max(retry_after_ms, _MIN_RETRY_AFTER_MS) * random.uniform(0.7, 1.5)
+    seconds = b"%.3f" % (spread_ms / 1000)
+    return HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE, [(b"Retry-After", seconds)])
+
+
+def deadline_of(request: HttpRequest, *, dialect: Dialect, route: Route) -> float:
+    """Return the monotonic time by which a request needs its final answer, in ms."""
+    limit_ms = route.timeout_ms
+    value = request.header(dialect.deadline)
+    if value is not None and value.isdigit():
+        limit_ms = min(limit_ms, float(value))
+    return request.received_ms + limit_ms
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -0,0 +1,254 @@
+"""Wiring of an entry instance: callers, upstreams, and news of the control group."""
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable
+from http import HTTPStatus
+
+from cuminbend.exceptions import ConfigurationError
+from cuminbend.forwarding import CallerLimits, RetryBudgets, RoutingTable
+from cuminbend.ports import Clock
+
+from cuminbendd.channel import parse_address
+from cuminbendd.entry._dialect import Dialect
+from cuminbendd.entry._fanout import FanOutRequest
+from cuminbendd.entry._forwarding import ForwardingContext, rejection
+from cuminbendd.entry._settings import EntrySettings
+from cuminbendd.entry._single import SingleRequest
+from cuminbendd.entry._upstreams import UpstreamDirectory
+from cuminbendd.feed import ControlInfo, EntryInfo, FeedClient, Hello, Status, Update
+from cuminbendd.http1 import HttpRequest, HttpResponse, HttpServer, Responder
+
+logger = logging.getLogger(__name__)
+
+# Time to come back in, told to a caller that an instance without a configuration
+# turns away: about the time in which a restarted instance gets one.
+_NO_CONFIGURATION_RETRY_MS = 200.0
+_SWEEP_MS = 100.0
+
+ConfigurationDecoder = Callable[[bytes], RoutingTable]
+
+
+class EntryInstance:
+    """Takes requests of callers and forwards them.
+
+    Args:
+        settings: Settings of the instance.
+        clock: Source of time.
+        dialect: Header names.
+        decode: Decodes the content of a stored configuration.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        clock: Clock,
+        dialect: Dialect,
+        decode: ConfigurationDecoder,
+    ) -> None:
+        self.settings = settings
+        self._clock = clock
+        self._decode = decode
+        self._upstreams = UpstreamDirectory(
+            settings=settings, clock=clock, dialect=dialect
+        )
+        self._retries = RetryBudgets(settings=settings.retries)
+        self._context = ForwardingContext(
+            settings=settings,
+            dialect=dialect,
+            upstreams=self._upstreams,
+            retries=self._retries,
+        )
+        self._controls: dict[str, ControlInfo] = {}
+        self._feed = FeedClient(
+            sink=self, clock=clock, candidates=self._control_candidates
+        )
+        self._is_stopping = False
+        self.server = HttpServer(
+            handler=self.handle, clock=clock, limits=self._caller_limits
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the instance should get new callers."""
+        return self._context.table is not None and not self._is_stopping
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force here, 0 before the first."""
+        table = self._context.table
+        return table.version if table else 0
+
+    def _caller_limits(self) -> CallerLimits:
+        table = self._context.table
+        return table.limits if table else CallerLimits()
+
+    # Running
+
+    async def start(self) -> None:
+        """Listen and follow the control group.
+
+        Raises:
+            OSError: If the address is in use.
+        """
+        host, port = parse_address(self.settings.caller_address)
+        await self.server.start(host, port)
+        self._tasks = [
+            asyncio.ensure_future(self._feed.run()),
+            asyncio.ensure_future(self._sweep()),
+        ]
+        logger.info(
+            "event=started instance=%s role=entry address=%s",
+            self.settings.instance,
+            self.settings.caller_address,
+        )
+
+    async def stop(self) -> None:
+        """Leave the directory, finish what is under way, and close.
+
+        Callers that still hold an older list of addresses are served until it has
+        run out.
+        """
+        logger.info("event=stopping instance=%s", self.settings.instance)
+        self._is_stopping = True
+        self.server.drain()
+        self._feed.notify()
+        settings = self.settings
+        start_ms = self._clock.monotonic_ms()
+        await asyncio.sleep(settings.drain_ms / 1000)
+        self.server.close_idle()
+        while self.server.busy:
+            if self._clock.monotonic_ms() - start_ms > settings.stop_ms:
+                break
+            await asyncio.sleep(0.02)
+        logger.info(
+            "event=stopped instance=%s unfinished=%d",
+            settings.instance,
+            self.server.busy,
+        )
+        self.close()
+
+    def close(self) -> None:
+        """Close everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        self.server.close()
+        self._upstreams.close()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_MS / 1000)
+            self._upstreams.expire_silent()
+            self._upstreams.drop_unconfirmed()
+
+    # Requests
+
+    def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Forward a request."""
+        context = self._context
+        table = context.table
+        if table is None:
+            responder.respond(rejection(retry_after_ms=_NO_CONFIGURATION_RETRY_MS))
+            return
+        host = (request.header(b"host") or b"").decode("latin-1")
+        route = table.find(host, request.path)
+        if route is None:
+            logger.info(
+                "event=request_ended request=%s outcome=no_route status=404 host=%s "
+                "path=%s version=%d",
+                (request.header(context.dialect.request_id) or b"").decode("latin-1"),
+                host,
+                request.path,
+                table.version,
+            )
+            responder.respond(HttpResponse(HTTPStatus.NOT_FOUND, []))
+            return
+        kind = FanOutRequest if route.shards else SingleRequest
+        kind(context=context, route=route, request=request, responder=responder).start()
+
+    def dump(self) -> bytes:
+        """Return the state for operators, as JSON."""
+        return json.dumps(
+            {
+                "instance": self.settings.instance,
+                "version": self.version,
+                "control": self._feed.source,
+                "is_ready": self.is_ready,
+                **self._upstreams.dump(),
+            }
+        ).encode()
+
+    # News of the control group
+
+    def _control_candidates(self) -> list[str]:
+        """Return control instances, those of the own data centre first."""
+        known = list(self._controls.values())
+        random.shuffle(known)
+        known.sort(key=lambda item: item.data_centre != self.settings.data_centre)
+        addresses = [item.address for item in known]
+        seeds = list(self.settings.control_addresses)
+        random.shuffle(seeds)
+        return addresses + [item for item in seeds if item not in self._controls]
+
+    def hello(self) -> Hello:
+        """Return what to tell a control instance first."""
+        settings = self.settings
+        return Hello(
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            entry=EntryInfo(
+                instance=settings.instance,
+                address=settings.caller_address,
+                data_centre=settings.data_centre,
+            ),
+            control=None,
+            version=self.version,
+        )
+
+    def status(self) -> Status:
+        """Return the heartbeat to send."""
+        return Status(is_available=self.is_ready, version=self.version)
+
+    def on_update(self, source: str, update: Update) -> None:
+        """Take news."""
+        if update.controls is not None:
+            self._controls = {item.address: item for item in update.controls}
+        if not update.is_current:
+            return
+        if update.content is not None:
+            self._set_configuration(update.content)
+        if update.evacuated is not None:
+            evacuated = frozenset(update.evacuated)
+            if evacuated != self._upstreams.evacuated:
+                logger.info("event=evacuated data_centres=%s", sorted(evacuated))
+            self._upstreams.set_evacuated(evacuated)
+        if update.entries is not None:
+            self._upstreams.set_entries(item.instance for item in update.entries)
+            self._retries.resize(self._upstreams.instances)
+        if update.registrations or update.is_full:
+            self._upstreams.merge(update.registrations, is_full=update.is_full)
+
+    def on_lost(self, source: str) -> None:
+        """Keep what is known until another control instance is found."""
+
+    def _set_configuration(self, content: bytes) -> None:
+        try:
+            table = self._decode(content)
+        except ConfigurationError as error:
+            logger.error("event=configuration_unreadable error='%s'", error)
+            return
+        if table.version <= self.version:
+            return
+        logger.info(
+            "event=configuration_in_force version=%d former=%d routes=%d",
+            table.version,
+            self.version,
+            len(table.routes),
+        )
+        self._context.set_table(table)
+        self._upstreams.set_table(table)
+        self._feed.notify()
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/_pool.py
@@ -0,0 +1,212 @@
+"""Connections to one upstream."""
+
+import asyncio
+import logging
+from collections import deque
+from typing import Protocol
+
+from cuminbend.forwarding import Replica
+from cuminbend.ports import Clock
+
+from cuminbendd.entry._settings import EntrySettings
+from cuminbendd.http1 import (
+    AttemptObserver,
+    FailureKind,
+    ResponseNames,
+    UpstreamConnection,
+)
+
+logger = logging.getLogger(__name__)
+
+# Idle time kept as a margin before the upstream closes the connection itself.
+_KEEP_ALIVE_SHARE = 0.6
+# An idle connection may be closed by the upstream while a request is on its way, and
+# then nobody knows whether it ran. A request that must not run twice therefore only
+# takes a connection that was used just before.
+_FRESH_IDLE_MS = 500.0
+
+
+class PooledAttempt(AttemptObserver, Protocol):
+    """A request that waits for a connection, or for its response."""
+
+    is_idempotent: bool
+    connection: UpstreamConnection | None
+    expires_ms: float
+
+    def encode(self) -> bytes | None:
+        """Return the bytes to send, or None if it is no longer wanted."""
+
+
+class ConnectionPool:
+    """Connections of this instance to one upstream.
+
+    Args:
+        replica: The upstream.
+        limit: Connections that may be open at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        settings: EntrySettings,
+        clock: Clock,
+        names: ResponseNames,
+        limit: int,
+    ) -> None:
+        self.replica = replica
+        self.limit = limit
+        self._settings = settings
+        self._clock = clock
+        self._names = names
+        self._idle: list[UpstreamConnection] = []
+        self._open: set[UpstreamConnection] = set()
+        self._connecting = 0
+        self._waiting: deque[PooledAttempt] = deque()
+        self._is_closed = False
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def size(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._open) + self._connecting
+
+    @property
+    def has_room(self) -> bool:
+        """Whether one more attempt gets a connection at once or soon."""
+        return bool(self._idle) or self.size < self.limit or len(self._waiting) < 2
+
+    def submit(self, attempt: PooledAttempt) -> None:
+        """Send the attempt now or once a connection is there."""
+        connection = self._take_idle(attempt.is_idempotent)
+        if connection is None:
+            self._waiting.append(attempt)
+            self._open_if_needed()
+        elif not self._send(connection, attempt):
+            self.on_idle(connection)
+
+    def withdraw(self, attempt: PooledAttempt) -> bool:
+        """Take back an attempt that still waits; return whether it did."""
+        if attempt in self._waiting:
+            self._waiting.remove(attempt)
+            return True
+        return False
+
+    def warm_up(self) -> None:
+        """Open a first connection, so that the first request need not wait for it."""
+        if not self._open and not self._connecting:
+            self._connect()
+
+    def expire(self, now_ms: float) -> None:
+        """Close connections that have gone silent."""
+        for connection in tuple(self._open):
+            attempt = connection.observer
+            if attempt is not None and attempt.expires_ms < now_ms:
+                connection.close(FailureKind.SILENT)
+
+    def close(self) -> None:
+        """Close idle connections; those in use close after their response."""
+        self._is_closed = True
+        for connection in tuple(self._idle):
+            connection.close()
+        self._fail_waiting()
+
+    def abort(self) -> None:
+        """Close all connections at once."""
+        self.close()
+        for connection in tuple(self._open):
+            connection.close()
+
+    def _take_idle(self, is_idempotent: bool) -> UpstreamConnection | None:
+        now_ms = self._clock.monotonic_ms()
+        while self._idle:
+            connection = self._idle.pop()
+            limit_ms = self._idle_limit_ms(connection)
+            if not is_idempotent:
+                limit_ms = min(limit_ms, _FRESH_IDLE_MS)
+            if now_ms - connection.idle_since_ms > limit_ms:
+                connection.close()
+            else:
+                return connection
+        return None
+
+    def _idle_limit_ms(self, connection: UpstreamConnection) -> float:
+        if connection.keep_alive_ms is None:
+            return self._settings.idle_connection_ms
+        return connection.keep_alive_ms * _KEEP_ALIVE_SHARE
+
+    def _send(self, connection: UpstreamConnection, attempt: PooledAttempt) -> bool:
+        data = attempt.encode()
+        if data is None:
+            return False
+        attempt.connection = connection
+        connection.send(data, attempt)
+        return True
+
+    def _open_if_needed(self) -> None:
+        if self._connecting < len(self._waiting) and self.size < self.limit:
+            self._connect()
+
+    def _connect(self) -> None:
+        self._connecting += 1
+        task = asyncio.ensure_future(self._open_connection())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _open_connection(self) -> None:
+        host, port = self.replica.address
+        connection = UpstreamConnection(owner=self, names=self._names)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._settings.connect_timeout_ms / 1000):
+                await loop.create_connection(lambda: connection, host, port)
+        except (OSError, TimeoutError) as error:
+            self._connecting -= 1
+            self._note_unreachable(error)
+            return
+        self._connecting -= 1
+        if self._is_closed:
+            connection.close()
+            return
+        self._open.add(connection)
+        self.on_idle(connection)
+
+    def _note_unreachable(self, error: Exception) -> None:
+        replica = self.replica
+        replica.note_broken(now_ms=self._clock.monotonic_ms())
+        logger.warning(
+            "event=upstream_unreachable upstream=%s service=%s error='%s' "
+            "waiting=%d backoff_ms=%.0f",
+            replica.upstream,
+            replica.service,
+            type(error).__name__,
+            len(self._waiting),
+            replica.backoff_until_ms - self._clock.monotonic_ms(),
+        )
+        if not self._open and not self._connecting:
+            self._fail_waiting()
+
+    def _fail_waiting(self) -> None:
+        while self._waiting:
+            self._waiting.popleft().on_failure(FailureKind.UNREACHABLE)
+
+    # Called by connections
+
+    def on_idle(self, connection: UpstreamConnection) -> None:
+        """Give the connection to the next attempt, or keep it."""
+        connection.idle_since_ms = self._clock.monotonic_ms()
+        if self._is_closed or len(self._open) > self.limit:
+            connection.close()
+            return
+        while self._waiting:
+            if self._send(connection, self._waiting.popleft()):
+                return
+        self._idle.append(connection)
+
+    def on_closed(self, connection: UpstreamConnection) -> None:
+        """Forget a connection and open another one if attempts wait."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        if self._waiting and not self._is_closed:
+            self._open_if_needed()
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -0,0 +1,234 @@
+"""A request that one upstream answers."""
+
+import asyncio
+import logging
+from http import HTTPStatus
+
+from cuminbend.forwarding import Route
+
+from cuminbendd.entry._attempts import Attempt, Outcome
+from cuminbendd.entry._forwarding import (
+    ForwardingContext,
+    PreparedRequest,
+    deadline_of,
+    end_to_end,
+    rejection,
+)
+from cuminbendd.http1 import HttpRequest, HttpResponse, Responder, UpstreamResponse
+
+logger = logging.getLogger(__name__)
+
+# The answer at the deadline leaves this long before it, so that it still counts.
+_DEADLINE_MARGIN_MS = 15.0
+# Rejections by full upstreams that are tried elsewhere beyond the attempts allowed;
+# they did not run, but they count against the retry budget.
+_MAX_REJECTED = 2
+
+
+class SingleRequest:
+    """Forwards one request, and again to another upstream where that is allowed."""
+
+    def __init__(
+        self,
+        *,
+        context: ForwardingContext,
+        route: Route,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        self._context = context
+        self._route = route
+        self._responder = responder
+        self._received_ms = request.received_ms
+        self._state = context.state_of(route)
+        self._prepared = PreparedRequest(
+            request,
+            dialect=context.dialect,
+            deadline_ms=deadline_of(request, dialect=context.dialect, route=route),
+        )
+        self._loop = asyncio.get_running_loop()
+        self._tried: list[str] = []
+        self._open: list[Attempt] = []
+        self._may_have_run = 0
+        self._rejected = 0
+        self._hedges = 0
+        self._is_answered = False
+        self._last_error: UpstreamResponse | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._deadline: asyncio.TimerHandle | None = None
+        assert self._state.weights is not None
+        self._service = self._state.weights.next()
+
+    @property
+    def _request_id(self) -> str:
+        return self._prepared.request_id.decode("latin-1")
+
+    def start(self) -> None:
+        """Send the first attempt."""
+        context = self._context
+        context.retries.earn(self._service)
+        self._responder.on_abandoned = self._on_abandoned
+        if not self._send():
+            self._reject("no_upstream")
+            return
+        left_ms = self._prepared.deadline_ms - context.clock.monotonic_ms()
+        self._deadline = self._loop.call_later(
+            max(0.0, left_ms - _DEADLINE_MARGIN_MS) / 1000, self._on_deadline
+        )
+        if self._route.idempotent and self._route.max_attempts > 1:
+            delay_ms = self._state.hedging.delay_ms
+            self._timer = self._loop.call_later(delay_ms / 1000, self._on_hedge_delay)
+
+    # Attempts
+
+    def _send(self) -> bool:
+        context = self._context
+        pool = context.upstreams.choose(self._service, excluded=self._tried)
+        if pool is None:
+            return False
+        attempt = Attempt(
+            directory=context.upstreams,
+            pool=pool,
+            request_id=self._prepared.request_id,
+            is_idempotent=self._route.idempotent,
+            hedging=self._state.hedging,
+            deadline_ms=self._prepared.deadline_ms,
+            encode=self._encode,
+            on_done=self._on_attempt_done,
+        )
+        self._tried.append(pool.replica.upstream)
+        self._open.append(attempt)
+        attempt.start()
+        return True
+
+    def _encode(self, attempt: Attempt) -> bytes | None:
+        if self._is_answered:
+            return None
+        now_ms = self._context.clock.monotonic_ms()
+        return self._prepared.encode(attempt, now_ms)
+
+    def _may_send_again(self) -> bool:
+        """Return whether another attempt is allowed, and book it."""
+        if self._rejected > _MAX_REJECTED:
+            return False
+        if self._may_have_run and not self._route.idempotent:
+            return False
+        running = self._may_have_run + len(self._open)
+        if running >= self._route.max_attempts:
+            return False
+        return self._context.retries.try_spend(self._service)
+
+    def _on_hedge_delay(self) -> None:
+        if self._is_answered:
+            return
+        for attempt in self._open:
+            attempt.mark_overdue()
+        if self._may_send_again() and self._send():
+            self._hedges += 1
+            logger.info(
+                "event=hedged request=%s service=%s delay_ms=%.1f",
+                self._request_id,
+                self._service,
+                self._state.hedging.delay_ms,
+            )
+
+    def _on_attempt_done(
+        self, attempt: Attempt, outcome: Outcome, response: UpstreamResponse | None
+    ) -> None:
+        self._open.remove(attempt)
+        if outcome is Outcome.NOT_RUN:
+            self._rejected += 1
+        else:
+            self._may_have_run += 1
+        if self._is_answered:
+            return
+        if outcome is Outcome.ANSWERED and response is not None:
+            self._pass_on(attempt, response)
+            return
+        if outcome is Outcome.ERROR:
+            self._last_error = response
+        if self._may_send_again() and self._send():
+            return
+        if not self._open:
+            self._fail(outcome)
+
+    # Answers
+
+    def _pass_on(self, attempt: Attempt, response: UpstreamResponse) -> None:
+        dialect = self._context.dialect
+        is_success = response.status // 100 == HTTPStatus.OK // 100
+        if is_success and response.header(dialect.stamp) is None:
+            self._answer(HttpResponse(HTTPStatus.BAD_GATEWAY, []), "unsigned", attempt)
+            return
+        headers = end_to_end(response.headers, dropped=(dialect.load,))
+        self._answer(
+            HttpResponse(response.status, headers, response.body), "answered", attempt
+        )
+
+    def _fail(self, outcome: Outcome) -> None:
+        """Answer once no attempt is left that could succeed."""
+        if self._last_error is not None:
+            error = self._last_error
+            headers = end_to_end(error.headers, dropped=(self._context.dialect.load,))
+            self._answer(HttpResponse(error.status, headers, error.body), "error")
+        elif self._may_have_run:
+            self._answer(HttpResponse(HTTPStatus.BAD_GATEWAY, []), "lost")
+        else:
+            self._reject(str(outcome))
+
+    def _reject(self, cause: str) -> None:
+        retry_after_ms = self._state.hedging.median_ms
+        self._answer(rejection(retry_after_ms=retry_after_ms), f"rejected_{cause}")
+
+    def _on_deadline(self) -> None:
+        if self._is_answered:
+            return
+        self._end()
+        if not self._may_have_run and not self._open:
+            self._reject("deadline")
+        else:
+            self._answer(HttpResponse(HTTPStatus.GATEWAY_TIMEOUT, []), "timeout")
+
+    def _answer(
+        self, response: HttpResponse, cause: str, attempt: Attempt | None = None
+    ) -> None:
+        self._end()
+        self._responder.respond(response)
+        logger.info(
+            "event=request_ended request=%s route=%s outcome=%s status=%d "
+            "duration_ms=%.1f upstream=%s hedges=%d tried=%d version=%d",
+            self._request_id,
+            self._route.name,
+            cause,
+            response.status,
+            self._context.clock.monotonic_ms() - self._received_ms,
+            attempt.replica.upstream if attempt else "",
+            self._hedges,
+            len(self._tried),
+            self._context.table.version if self._context.table else 0,
+        )
+
+    def _on_abandoned(self) -> None:
+        """End the work of a caller who has left, if it may be repeated."""
+        self._end()
+        logger.info(
+            "event=request_ended request=%s route=%s outcome=abandoned_by_caller",
+            self._request_id,
+            self._route.name,
+        )
+        if self._route.idempotent:
+            delay_s = self._context.settings.abandon_after_ms / 1000
+            self._loop.call_later(delay_s, self._abandon_attempts)
+
+    def _abandon_attempts(self) -> None:
+        for attempt in tuple(self._open):
+            attempt.abandon()
+
+    def _end(self) -> None:
+        """Send nothing more; an attempt under way runs on and keeps its connection."""
+        self._is_answered = True
+        for timer in (self._timer, self._deadline):
+            if timer is not None:
+                timer.cancel()
+        for attempt in tuple(self._open):
+            attempt.withdraw()
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -0,0 +1,363 @@
+"""The upstreams that this instance knows, and the choice among them."""
+
+import asyncio
+import hashlib
+import logging
+from collections.abc import Collection, Iterable
+
+from cuminbend.budgets import TokenBudget
+from cuminbend.forwarding import (
+    Replica,
+    ReplicaGroup,
+    ReplicaState,
+    RoutingTable,
+    ServicePolicy,
+)
+from cuminbend.ports import Clock
+from cuminbend.registry import Registration, UpstreamState
+
+from cuminbendd.channel import parse_address
+from cuminbendd.entry._dialect import Dialect
+from cuminbendd.entry._pool import ConnectionPool
+from cuminbendd.entry._settings import EntrySettings
+
+logger = logging.getLogger(__name__)
+
+# More connections than an upstream has slots and queue places are never of use.
+_MAX_POOL = 16
+# First connections are opened one after the other, so that they do not all take a
+# slot of the searchers at the same moment.
+_WARM_UP_STEP_S = 0.004
+
+
+class UpstreamDirectory:
+    """Replicas and connections by service.
+
+    Args:
+        settings: Settings of the instance.
+        clock: Source of time.
+        dialect: Header names.
+    """
+
+    def __init__(
+        self, *, settings: EntrySettings, clock: Clock, dialect: Dialect
+    ) -> None:
+        self.clock = clock
+        self.dialect = dialect
+        self.evacuated: frozenset[str] = frozenset()
+        self._settings = settings
+        self._names = dialect.response_names
+        self._groups: dict[str, ReplicaGroup] = {}
+        self._pools: dict[str, ConnectionPool] = {}
+        self._registrations: dict[str, Registration] = {}
+        self._unconfirmed_ms: dict[str, float] = {}
+        self._policies: dict[str, ServicePolicy] = {}
+        self._entries: tuple[str, ...] = (settings.instance,)
+        self._cold_budgets: dict[str, _RateLimit] = {}
+        self._warm_up_count = 0
+
+    # News
+
+    def set_table(self, table: RoutingTable) -> None:
+        """Take the declared limits of a configuration."""
+        self._policies = dict(table.services)
+        self._resize_pools()
+        for pool in self._pools.values():
+            self._warm_up(pool)
+
+    def set_entries(self, entries: Iterable[str]) -> None:
+        """Take the names of the entry instances that share the limits."""
+        entries = tuple(sorted({*entries, self._settings.instance}))
+        if entries != self._entries:
+            self._entries = entries
+            self._resize_pools()
+
+    def set_evacuated(self, evacuated: frozenset[str]) -> None:
+        """Take the data centres that get no work.
+
+        Upstreams of one that comes back may have turned cold meanwhile; they count
+        as cold until their next heartbeat says otherwise, at most their cold start.
+        """
+        returned = self.evacuated - evacuated
+        self.evacuated = evacuated
+        now_ms = self.clock.monotonic_ms()
+        for pool in self._pools.values():
+            replica = pool.replica
+            if replica.data_centre in returned:
+                policy = self._policies.get(replica.service)
+                cold_ms = (policy.cold_start_s if policy else 0.0) * 1000
+                replica.cold_until_ms = max(replica.cold_until_ms, now_ms + cold_ms)
+
+    def merge(self, registrations: Iterable[Registration], *, is_full: bool) -> None:
+        """Take registrations; older ones than those held change nothing.
+
+        Args:
+            registrations: Changes, or everything that a control instance knows.
+            is_full: Whether it is everything. An upstream that is missing then is
+                kept for a while: the control instance may have just started.
+        """
+        named = set()
+        for registration in registrations:
+            named.add(registration.upstream)
+            self._merge_one(registration)
+        if is_full:
+            now_ms = self.clock.monotonic_ms()
+            for upstream in self._pools:
+                if upstream not in named:
+                    self._unconfirmed_ms.setdefault(upstream, now_ms)
+
+    def drop_unconfirmed(self) -> None:
+        """Drop upstreams that no control instance has named for a while."""
+        limit_ms = self._settings.unconfirmed_lifetime_ms
+        now_ms = self.clock.monotonic_ms()
+        for upstream, since_ms in list(self._unconfirmed_ms.items()):
+            if now_ms - since_ms > limit_ms:
+                self._remove(upstream, cause="unconfirmed")
+                self._registrations.pop(upstream, None)
+
+    def _merge_one(self, registration: Registration) -> None:
+        held = self._registrations.get(registration.upstream)
+        self._unconfirmed_ms.pop(registration.upstream, None)
+        if held is not None and registration.order < held.order:
+            return
+        self._registrations[registration.upstream] = registration
+        if registration.state is UpstreamState.GONE:
+            self._remove(registration.upstream, cause="gone")
+            return
+        replica = self._replica_of(registration, held)
+        if replica is None:
+            return
+        now_ms = self.clock.monotonic_ms()
+        replica.slots = max(1, registration.slots)
+        replica.cold_until_ms = (
+            now_ms + registration.cold_left_ms if registration.cold_left_ms else 0.0
+        )
+        if registration.state is UpstreamState.SILENT:
+            replica.failure_rate = 1.0
+        leaving = registration.state is UpstreamState.LEAVING
+        replica.state = ReplicaState.LEAVING if leaving else ReplicaState.READY
+        if held is None or held.state is not registration.state:
+            logger.info(
+                "event=upstream_%s upstream=%s service=%s data_centre=%s "
+                "incarnation_ms=%d sequence=%d cold_left_ms=%.0f",
+                registration.state.name.lower(),
+                registration.upstream,
+                registration.service,
+                registration.data_centre,
+                registration.incarnation_ms,
+                registration.sequence,
+                registration.cold_left_ms,
+            )
+
+    def _replica_of(
+        self, registration: Registration, held: Registration | None
+    ) -> Replica | None:
+        """Return the replica, a new one if the process behind it is another."""
+        pool = self._pools.get(registration.upstream)
+        if (
+            pool is not None
+            and held is not None
+            and held.address == registration.address
+            and held.service == registration.service
+            and held.incarnation_ms == registration.incarnation_ms
+        ):
+            return pool.replica
+        try:
+            address = parse_address(registration.address)
+        except ValueError as error:
+            logger.warning(
+                "event=registration_ignored upstream=%s error='%s'",
+                registration.upstream,
+                error,
+            )
+            return None
+        self._remove(registration.upstream, cause="replaced")
+        replica = Replica(
+            settings=self._settings.placement,
+            upstream=registration.upstream,
+            incarnation_ms=registration.incarnation_ms,
+            service=registration.service,
+            address=address,
+            data_centre=registration.data_centre,
+            slots=registration.slots,
+        )
+        group = self._groups.get(registration.service)
+        if group is None:
+            group = self._groups[registration.service] = ReplicaGroup(
+                service=registration.service, data_centre=self._settings.data_centre
+            )
+        group.add(replica)
+        pool = ConnectionPool(
+            replica=replica,
+            settings=self._settings,
+            clock=self.clock,
+            names=self._names,
+            limit=self._limit(registration.service),
+        )
+        self._pools[registration.upstream] = pool
+        if not registration.cold_left_ms:
+            self._warm_up(pool)
+        return replica
+
+    def _remove(self, upstream: str, *, cause: str) -> None:
+        self._unconfirmed_ms.pop(upstream, None)
+        self._cold_budgets.pop(upstream, None)
+        pool = self._pools.pop(upstream, None)
+        if pool is None:
+            return
+        replica = pool.replica
+        replica.state = ReplicaState.LEAVING
+        self._groups[replica.service].remove(upstream)
+        pool.close()
+        logger.info(
+            "event=upstream_removed upstream=%s service=%s cause=%s",
+            upstream,
+            replica.service,
+            cause,
+        )
+
+    def note_misdirected(self, replica: Replica) -> None:
+        """Note that another upstream answers at this one's address."""
+        logger.warning(
+            "event=upstream_misdirected upstream=%s service=%s",
+            replica.upstream,
+            replica.service,
+        )
+        self._remove(replica.upstream, cause="misdirected")
+
+    # Limits
+
+    def _limit(self, service: str) -> int:
+        policy = self._policies.get(service)
+        if policy is None:
+            return 1
+        share = policy.max_connections // max(1, len(self._entries))
+        return max(1, min(share, _MAX_POOL))
+
+    def _resize_pools(self) -> None:
+        for pool in self._pools.values():
+            pool.limit = self._limit(pool.replica.service)
+
+    def _warm_up(self, pool: ConnectionPool) -> None:
+        if pool.replica.service not in self._policies:
+            return
+        self._warm_up_count += 1
+        delay_s = (self._warm_up_count % 64) * _WARM_UP_STEP_S
+        asyncio.get_running_loop().call_later(delay_s, pool.warm_up)
+
+    def expire_silent(self) -> None:
+        """Close connections that have gone silent."""
+        now_ms = self.clock.monotonic_ms()
+        for pool in tuple(self._pools.values()):
+            if pool.replica.in_flight:
+                pool.expire(now_ms)
+
+    # Choice
+
+    def choose(
+        self, service: str, *, excluded: Collection[str] = ()
+    ) -> ConnectionPool | None:
+        """Return the connections of the upstream that should get an attempt.
+
+        Args:
+            service: Whose upstreams to choose from.
+            excluded: Upstreams that the request was sent to before.
+
+        Returns:
+            None if no upstream takes work from this instance now.
+        """
+        group = self._groups.get(service)
+        if group is None:
+            return None
+        now_ms = self.clock.monotonic_ms()
+        full: list[str] = []
+        while True:
+            replica = group.choose(
+                now_ms=now_ms,
+                excluded=(*excluded, *full) if full else excluded,
+                evacuated=self.evacuated,
+            )
+            if replica is None:
+                break
+            pool = self._pools[replica.upstream]
+            if pool.has_room:
+                return pool
+            full.append(replica.upstream)
+        return self._choose_cold(group, now_ms, excluded)
+
+    def _choose_cold(
+        self, group: ReplicaGroup, now_ms: float, excluded: Collection[str]
+    ) -> ConnectionPool | None:
+        replica = group.choose_cold(
+            now_ms=now_ms, excluded=excluded, evacuated=self.evacuated
+        )
+        if replica is None or not self._owns_cold(replica.upstream):
+            return None
+        budget = self._cold_budgets.get(replica.upstream)
+        if budget is None:
+            budget = _RateLimit(self._cold_rate_per_s(replica.service))
+            self._cold_budgets[replica.upstream] = budget
+        return self._pools[replica.upstream] if budget.try_spend(now_ms) else None
+
+    def _cold_rate_per_s(self, service: str) -> float:
+        policy = self._policies.get(service)
+        declared = policy.cold_rate_per_s if policy else 0.0
+        return max(
+            declared * self._settings.cold_safety, self._settings.cold_rate_per_s
+        )
+
+    def _owns_cold(self, upstream: str) -> bool:
+        """Return whether this instance alone may send to a cold upstream.
+
+        One instance per upstream keeps the bound on the sum over all instances
+        without an exchange. Source: Thaler and Ravishankar, "Using Name-Based
+        Mappings to Increase Hit Rates", 1998 (rendezvous hashing).
+        """
+
+        def weight(entry: str) -> bytes:
+            return hashlib.blake2b(f"{entry}/{upstream}".encode()).digest()
+
+        return max(self._entries, key=weight) == self._settings.instance
+
+    @property
+    def instances(self) -> int:
+        """Entry instances that share the limits."""
+        return len(self._entries)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for operators."""
+        return {
+            "entries": list(self._entries),
+            "evacuated": sorted(self.evacuated),
+            "upstreams": {
+                upstream: {
+                    "service": pool.replica.service,
+                    "state": str(pool.replica.state),
+                    "connections": pool.size,
+                    "in_flight": pool.replica.in_flight,
+                    "overdue": pool.replica.overdue,
+                    "slowness": round(pool.replica.slowness, 2),
+                    "failure_rate": round(pool.replica.failure_rate, 2),
+                }
+                for upstream, pool in self._pools.items()
+            },
+        }
+
+    def close(self) -> None:
+        """Close all connections."""
+        for pool in self._pools.values():
+            pool.abort()
+
+
+class _RateLimit:
+    """A token bucket of one token that fills with time."""
+
+    def __init__(self, rate_per_s: float) -> None:
+        self._budget = TokenBudget(ratio=rate_per_s / 1000, burst=1.0)
+        self._filled_ms: float | None = None
+
+    def try_spend(self, now_ms: float) -> bool:
+        if self._filled_ms is not None:
+            self._budget.earn(int(now_ms - self._filled_ms))
+        self._filled_ms = now_ms
+        return self._budget.try_spend()
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/feed/__init__.py
@@ -0,0 +1,37 @@
+"""What control instances tell entry instances and each other, as changes."""
+
+from cuminbendd.feed._client import FeedClient, FeedSink
+from cuminbendd.feed._messages import (
+    CODEC,
+    AdmitReply,
+    AdmitRequest,
+    ControlInfo,
+    EntryInfo,
+    Hello,
+    ProposeReply,
+    ProposeRequest,
+    ReadReply,
+    ReadRequest,
+    Status,
+    Update,
+)
+from cuminbendd.feed._server import FeedServer, FeedSource
+
+__all__ = [
+    "CODEC",
+    "AdmitReply",
+    "AdmitRequest",
+    "ControlInfo",
+    "EntryInfo",
+    "FeedClient",
+    "FeedServer",
+    "FeedSink",
+    "FeedSource",
+    "Hello",
+    "ProposeReply",
+    "ProposeRequest",
+    "ReadReply",
+    "ReadRequest",
+    "Status",
+    "Update",
+]
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/feed/_server.py
@@ -0,0 +1,175 @@
+"""The sending end of the feed, on a control instance."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import Protocol
+
+from cuminbend.exceptions import ChannelError
+from cuminbend.newest import StoredConfiguration
+from cuminbend.ports import Clock
+from cuminbend.registry import Registration
+
+from cuminbendd.channel import FrameStream
+from cuminbendd.feed._messages import (
+    ControlInfo,
+    EntryInfo,
+    Hello,
+    Status,
+    Update,
+)
+
+logger = logging.getLogger(__name__)
+
+# An update goes out at least this often; the reader counts on it.
+HEARTBEAT_MS = 500.0
+# Silence after which the other end counts as gone: three heartbeats.
+SILENCE_MS = 1600.0
+# Changes within this time travel in one update.
+_BATCH_MS = 20.0
+
+
+class FeedSource(Protocol):
+    """State of the control instance that the feed publishes."""
+
+    @property
+    def is_current(self) -> bool:
+        """Whether this instance is in touch with a majority of the group."""
+
+    @property
+    def stored(self) -> StoredConfiguration:
+        """Configuration in force."""
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Data centres that get no work."""
+
+    @property
+    def revision(self) -> int:
+        """Revision of the registrations."""
+
+    def changes_since(
+        self, revision: int, *, held_here: bool
+    ) -> tuple[Registration, ...]:
+        """Return the registrations that changed after a revision."""
+
+    def entries(self, *, held_here: bool) -> tuple[EntryInfo, ...]:
+        """Return the entry instances in the directory."""
+
+    def controls(self) -> tuple[ControlInfo, ...]:
+        """Return the control instances known here."""
+
+    def set_entry(self, entry: EntryInfo, *, is_available: bool) -> None:
+        """Note that an entry instance reads the feed, and whether it takes callers."""
+
+    def remove_entry(self, entry: EntryInfo) -> None:
+        """Note that an entry instance reads the feed no more."""
+
+    def add_control(self, control: ControlInfo) -> None:
+        """Note that a control instance reads the feed."""
+
+
+@dataclass(slots=True)
+class _Sent:
+    """What a reader has been told."""
+
+    is_first: bool = True
+    is_current: bool = False
+    revision: int = 0
+    version: int = 0
+    evacuated: frozenset[str] | None = None
+    entries: tuple[EntryInfo, ...] | None = None
+    controls: tuple[ControlInfo, ...] | None = None
+
+
+class FeedServer:
+    """Sends each reader what has changed since it was last told."""
+
+    def __init__(self, *, source: FeedSource, clock: Clock) -> None:
+        self._source = source
+        self._clock = clock
+        self._changed = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake all streams, because something may have changed."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def serve(self, hello: Hello, stream: FrameStream) -> None:
+        """Send updates until the reader is gone."""
+        logger.info(
+            "event=reader_joined reader=%s data_centre=%s version=%d",
+            hello.instance,
+            hello.data_centre,
+            hello.version,
+        )
+        cause = "closed"
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._read(hello, stream))
+                group.create_task(self._write(hello, stream))
+        except* (ChannelError, TimeoutError) as errors:
+            cause = repr(errors.exceptions[0])
+        finally:
+            if hello.entry is not None:
+                self._source.remove_entry(hello.entry)
+            logger.info("event=reader_left reader=%s cause='%s'", hello.instance, cause)
+
+    async def _read(self, hello: Hello, stream: FrameStream) -> None:
+        if hello.control is not None:
+            self._source.add_control(hello.control)
+        while True:
+            async with asyncio.timeout(SILENCE_MS / 1000):
+                _, status = await stream.read()
+            if hello.entry is not None and isinstance(status, Status):
+                self._source.set_entry(hello.entry, is_available=status.is_available)
+
+    async def _write(self, hello: Hello, stream: FrameStream) -> None:
+        sent = _Sent(version=hello.version)
+        while True:
+            changed = self._changed
+            update = self._next_update(sent, is_control=hello.control is not None)
+            async with asyncio.timeout(SILENCE_MS / 1000):
+                await stream.write(update)
+            try:
+                async with asyncio.timeout(HEARTBEAT_MS / 1000):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(_BATCH_MS / 1000)
+
+    def _next_update(self, sent: _Sent, *, is_control: bool) -> Update:
+        """Return what the reader lacks, and note it as sent.
+
+        A control instance gets the configuration from the log, and only what is held
+        here: the rest it gets from the instances that hold it.
+        """
+        source = self._source
+        is_current = source.is_current
+        stored = source.stored
+        content = None
+        # An instance that is not current may hold an old configuration.
+        if not is_control and is_current and stored.version > sent.version:
+            content = stored.content
+            sent.version = stored.version
+        evacuated = None
+        if is_current and source.evacuated != sent.evacuated:
+            evacuated = tuple(sorted(source.evacuated))
+            sent.evacuated = source.evacuated
+        entries = source.entries(held_here=is_control)
+        controls = source.controls()
+        update = Update(
+            is_current=is_current,
+            is_full=sent.is_first,
+            registrations=source.changes_since(sent.revision, held_here=is_control),
+            version=stored.version,
+            content=content,
+            evacuated=evacuated,
+            entries=entries if entries != sent.entries else None,
+            controls=controls if controls != sent.controls else None,
+        )
+        sent.is_first = False
+        sent.revision = source.revision
+        sent.entries = entries
+        sent.controls = controls
+        return update
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/http1/__init__.py
@@ -0,0 +1,25 @@
+"""HTTP/1.1 over bare asyncio protocols and the httptools parser."""
+
+from cuminbendd.http1._messages import HttpRequest, HttpResponse, reason_of
+from cuminbendd.http1._server import HttpServer, RequestHandler, Responder
+from cuminbendd.http1._upstream import (
+    AttemptObserver,
+    FailureKind,
+    ResponseNames,
+    UpstreamConnection,
+    UpstreamResponse,
+)
+
+__all__ = [
+    "AttemptObserver",
+    "FailureKind",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "RequestHandler",
+    "Responder",
+    "ResponseNames",
+    "UpstreamConnection",
+    "UpstreamResponse",
+    "reason_of",
+]
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/http1/_server.py
@@ -0,0 +1,320 @@
+"""The end towards callers: connections, limits, time-outs, and a graceful stop."""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Protocol, cast
+
+import httptools
+from cuminbend.forwarding import CallerLimits
+from cuminbend.ports import Clock
+
+from cuminbendd.http1._messages import Headers, HttpRequest, HttpResponse
+
+logger = logging.getLogger(__name__)
+
+_SWEEP_S = 0.25
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Requests that a caller may send ahead of answers on one connection.
+_MAX_PIPELINED = 32
+
+
+class Responder:
+    """Where the answer to one request goes.
+
+    Attributes:
+        on_abandoned: Called if the caller closes its connection before the answer.
+    """
+
+    __slots__ = ("_connection", "is_done", "on_abandoned")
+
+    def __init__(self, connection: "_CallerConnection") -> None:
+        self._connection = connection
+        self.is_done = False
+        self.on_abandoned: Callable[[], None] | None = None
+
+    def respond(self, response: HttpResponse) -> None:
+        """Send the answer; only the first one counts."""
+        if self.is_done:
+            return
+        self.is_done = True
+        self._connection.send(response)
+
+    def abandon(self) -> None:
+        """Note that the caller has left."""
+        if self.is_done:
+            return
+        self.is_done = True
+        if self.on_abandoned is not None:
+            self.on_abandoned()
+
+
+class RequestHandler(Protocol):
+    """Takes requests and answers them through their responder, now or later."""
+
+    def __call__(self, request: HttpRequest, responder: Responder) -> None:
+        """Start to work on a request."""
+
+
+class HttpServer:
+    """Listens for callers.
+
+    Args:
+        handler: Takes each request.
+        clock: Source of time.
+        limits: Bounds on requests; read for each one, so that they can change.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: RequestHandler,
+        clock: Clock,
+        limits: Callable[[], CallerLimits] = CallerLimits,
+    ) -> None:
+        self.handler = handler
+        self.clock = clock
+        self.limits = limits
+        self.is_draining = False
+        self.connections: set[_CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._sweep: asyncio.TimerHandle | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen.
+
+        Raises:
+            OSError: If the address is in use.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _CallerConnection(self), host, port, backlog=512
+        )
+        self._sweep = loop.call_later(_SWEEP_S, self._sweep_connections)
+
+    @property
+    def port(self) -> int:
+        """Port that the server listens on."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    @property
+    def busy(self) -> int:
+        """Connections with a request that is not answered or not read in full."""
+        return sum(connection.is_busy for connection in self.connections)
+
+    def drain(self) -> None:
+        """Ask callers to leave: from now on each answer closes its connection."""
+        self.is_draining = True
+
+    def close_idle(self) -> None:
+        """Stop listening and close the connections without a request."""
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self.connections):
+            if not connection.is_busy:
+                connection.close()
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self._sweep is not None:
+            self._sweep.cancel()
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self.connections):
+            connection.close()
+
+    def _sweep_connections(self) -> None:
+        now_ms = self.clock.monotonic_ms()
+        limits = self.limits()
+        for connection in tuple(self.connections):
+            connection.expire(now_ms, limits)
+        loop = asyncio.get_running_loop()
+        self._sweep = loop.call_later(_SWEEP_S, self._sweep_connections)
+
+
+class _CallerConnection(asyncio.Protocol):
+    """One connection; requests on it are answered in order."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[tuple[HttpRequest, bool]] = deque()
+        self._current: Responder | None = None
+        self._keeps_alive = True
+        self._closing = False
+        self._last_active_ms = server.clock.monotonic_ms()
+        self._message_start_ms: float | None = None
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._header_bytes = 0
+        self._body_bytes = 0
+        self._head_complete = False
+
+    # Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Transports of uvloop do not derive from those of asyncio.
+        self._transport = cast(asyncio.Transport, transport)
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.connections.discard(self)
+        self._closing = True
+        self._waiting.clear()
+        if self._current is not None:
+            self._current.abandon()
+            self._current = None
+
+    def data_received(self, data: bytes) -> None:
+        if self._closing:
+            return
+        self._last_active_ms = self._server.clock.monotonic_ms()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(HTTPStatus.BAD_REQUEST, "upgrade")
+        except _RejectedError as error:
+            self._reject(error.status, error.cause)
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            if isinstance(cause, _RejectedError):
+                self._reject(cause.status, cause.cause)
+            else:
+                logger.exception("event=parser_callback_failed")
+                self._reject(HTTPStatus.BAD_REQUEST, "unreadable")
+        except httptools.HttpParserError as error:
+            self._reject(HTTPStatus.BAD_REQUEST, str(error))
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is unanswered or not read in full."""
+        return self._current is not None or self._message_start_ms is not None
+
+    def close(self) -> None:
+        """Close after what has been written."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def expire(self, now_ms: float, limits: CallerLimits) -> None:
+        """Close the connection if it has been idle or its request is overdue."""
+        if self._current is not None or self._closing:
+            return
+        if self._message_start_ms is not None:
+            taken_ms = now_ms - self._message_start_ms
+            if not self._head_complete and taken_ms > limits.header_timeout_ms:
+                self._reject(HTTPStatus.REQUEST_TIMEOUT, "header_timeout")
+            elif now_ms - self._last_active_ms > limits.idle_timeout_ms:
+                self._reject(HTTPStatus.REQUEST_TIMEOUT, "body_timeout")
+        elif now_ms - self._last_active_ms > limits.idle_timeout_ms:
+            self.close()
+
+    # Parser
+
+    def on_message_begin(self) -> None:
+        self._reset_message()
+        self._message_start_ms = self._server.clock.monotonic_ms()
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name.lower(), value))
+        self._count_header(len(name) + len(value) + 4)
+
+    def _count_header(self, size_bytes: int) -> None:
+        self._header_bytes += size_bytes
+        if self._header_bytes > self._server.limits().header_bytes:
+            raise _RejectedError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "header_bytes"
+            )
+
+    def on_headers_complete(self) -> None:
+        self._head_complete = True
+        hosts = sum(name == b"host" for name, _ in self._headers)
+        if hosts != 1:
+            raise _RejectedError(HTTPStatus.BAD_REQUEST, "host_header")
+        limit = self._server.limits().body_bytes
+        for name, value in self._headers:
+            if name == b"content-length" and int(value) > limit:
+                raise _RejectedError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_bytes")
+            if name == b"expect" and value.lower() == b"100-continue":
+                assert self._transport is not None
+                self._transport.write(_CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if self._body_bytes > self._server.limits().body_bytes:
+            raise _RejectedError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_bytes")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._message_start_ms = None
+        request = HttpRequest(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=self._headers,
+            body=b"".join(self._body),
+            received_ms=self._server.clock.monotonic_ms(),
+        )
+        if len(self._waiting) >= _MAX_PIPELINED:
+            raise _RejectedError(HTTPStatus.TOO_MANY_REQUESTS, "pipelined")
+        self._waiting.append((request, self._parser.should_keep_alive()))
+        if self._current is None:
+            self._start_next()
+
+    # Answers
+
+    def _start_next(self) -> None:
+        if not self._waiting or self._closing:
+            return
+        request, self._keeps_alive = self._waiting.popleft()
+        responder = self._current = Responder(self)
+        try:
+            self._server.handler(request, responder)
+        except Exception:
+            logger.exception("event=handler_failed target=%r", request.target)
+            responder.respond(HttpResponse(HTTPStatus.INTERNAL_SERVER_ERROR, []))
+
+    def send(self, response: HttpResponse) -> None:
+        """Write the answer to the current request and start the next one."""
+        self._current = None
+        self._last_active_ms = self._server.clock.monotonic_ms()
+        if self._transport is None or self._closing:
+            return
+        close = self._server.is_draining or not self._keeps_alive
+        self._transport.write(response.encode(close=close))
+        if close:
+            self.close()
+        else:
+            self._start_next()
+
+    def _reject(self, status: HTTPStatus, cause: str) -> None:
+        """Answer a request that was not read in full, and close."""
+        logger.info("event=request_unreadable status=%d cause='%s'", status, cause)
+        self._message_start_ms = None
+        self._waiting.clear()
+        if self._current is not None or self._transport is None:
+            # The answer due first belongs to an earlier request.
+            self._keeps_alive = False
+            return
+        self._transport.write(HttpResponse(status, []).encode(close=True))
+        self.close()
+
+
+class _RejectedError(Exception):
+    """A request that breaks a limit."""
+
+    def __init__(self, status: HTTPStatus, cause: str) -> None:
+        super().__init__(cause)
+        self.status = status
+        self.cause = cause
