Test placement, registrations, forwarding and replaced voters

Cause: the thin path had no tests of its own.

Change: tests for routes, weights, placement, gather, hedge delay, retry budgets, registrations, the highest-version state, replaced voters, the HTTP end towards callers and forwarding against scripted upstreams.

--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/forwarding/tests/test_replicas.py
@@ -0,0 +1,144 @@
+"""Tests of placement: each replays observations and asserts who gets the next one."""
+
+import pytest
+
+from cuminbend.forwarding import (
+    PlacementSettings,
+    Replica,
+    ReplicaGroup,
+    ReplicaState,
+)
+
+SETTINGS = PlacementSettings()
+
+
+def replica(name: str, data_centre: str = "a") -> Replica:
+    return Replica(
+        settings=SETTINGS,
+        upstream=name,
+        incarnation_ms=1,
+        service="s",
+        address=("127.0.0.1", 1),
+        data_centre=data_centre,
+        slots=2,
+    )
+
+
+def group(*replicas: Replica) -> ReplicaGroup:
+    found = ReplicaGroup(service="s", data_centre="a")
+    for item in replicas:
+        found.add(item)
+    return found
+
+
+def chosen(
+    replicas: ReplicaGroup, now_ms: float = 0.0, times: int = 20
+) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for _ in range(times):
+        found = replicas.choose(now_ms=now_ms)
+        name = found.upstream if found else "none"
+        counts[name] = counts.get(name, 0) + 1
+    return counts
+
+
+def test_equal_replicas_share_the_work() -> None:
+    """Guards against a herd on the first replica of a list."""
+    counts = chosen(group(replica("x"), replica("y")))
+    assert counts == {"x": 10, "y": 10}
+
+
+def test_own_data_centre_is_preferred_until_it_is_busy() -> None:
+    """Guards against needless traffic between data centres, and against overload."""
+    near, far = replica("near"), replica("far", "b")
+    replicas = group(near, far)
+    assert chosen(replicas) == {"near": 20}
+    near.in_flight = 3
+    assert chosen(replicas) == {"far": 20}
+
+
+def test_paused_replica_gets_no_more() -> None:
+    """Guards against queries that wait for a searcher in a pause."""
+    paused, other = replica("paused"), replica("other", "b")
+    paused.in_flight = paused.overdue = 1
+    assert chosen(group(paused, other)) == {"other": 20}
+    paused.overdue = SETTINGS.max_overdue
+    assert chosen(group(paused)) == {"none": 20}
+
+
+def test_failing_replica_with_good_health_is_avoided_and_tried_again() -> None:
+    """Guards against a grey replica that looks idle because it fails fast."""
+    grey, other = replica("grey"), replica("other", "b")
+    replicas = group(grey, other)
+    for _ in range(6):
+        grey.note_error(now_ms=0)
+    assert chosen(replicas) == {"other": 20}
+    assert chosen(replicas, now_ms=60_000) == {"grey": 20}
+
+
+def test_slow_replica_is_avoided_and_tried_again() -> None:
+    """Guards against a replica at a fraction of its speed that keeps its share."""
+    slow, other = replica("slow"), replica("other", "b")
+    replicas = group(slow, other)
+    for _ in range(6):
+        slow.note_answer(latency_ms=120, median_ms=10, now_ms=0)
+    assert chosen(replicas) == {"other": 20}
+    assert chosen(replicas, now_ms=60_000) == {"slow": 20}
+
+
+def test_broken_connections_back_off_with_growing_pauses() -> None:
+    """Guards against connection attempts at a dead searcher for each request."""
+    broken = replica("broken")
+    replicas = group(broken)
+    pauses = []
+    now_ms = 0.0
+    for _ in range(6):
+        broken.note_broken(now_ms=now_ms)
+        pauses.append(broken.backoff_until_ms - now_ms)
+        assert replicas.choose(now_ms=now_ms) is None
+        now_ms = broken.backoff_until_ms
+        assert replicas.choose(now_ms=now_ms) is broken
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == SETTINGS.backoff_max_ms
+    broken.note_answer(latency_ms=1, median_ms=1, now_ms=now_ms)
+    broken.note_broken(now_ms=now_ms)
+    assert broken.backoff_until_ms - now_ms == SETTINGS.backoff_min_ms
+
+
+@pytest.mark.parametrize("condition", ["leaving", "cold", "evacuated", "excluded"])
+def test_replicas_that_take_no_new_work(condition: str) -> None:
+    """Guards against work for a replica that must not get any."""
+    only = replica("only")
+    replicas = group(only)
+    excluded, evacuated = [], []
+    if condition == "leaving":
+        only.state = ReplicaState.LEAVING
+    elif condition == "cold":
+        only.cold_until_ms = 10.0
+    elif condition == "evacuated":
+        evacuated = ["a"]
+    else:
+        excluded = ["only"]
+    found = replicas.choose(now_ms=0, excluded=excluded, evacuated=evacuated)
+    assert found is None
+
+
+def test_cold_replica_gets_one_at_a_time() -> None:
+    """Guards against a burst on a replica that bears only a little."""
+    cold = replica("cold")
+    cold.cold_until_ms = 10.0
+    replicas = group(cold)
+    assert replicas.choose_cold(now_ms=0) is cold
+    cold.in_flight = 1
+    assert replicas.choose_cold(now_ms=0) is None
+    cold.in_flight = 0
+    assert replicas.choose_cold(now_ms=0, evacuated=["a"]) is None
+
+
+def test_reported_queue_counts_while_it_is_fresh() -> None:
+    """Guards against placement that ignores what other instances send."""
+    queued, other = replica("queued"), replica("other", "b")
+    replicas = group(queued, other)
+    queued.note_load(queued=6, now_ms=0)
+    assert chosen(replicas, now_ms=10) == {"other": 20}
+    assert chosen(replicas, now_ms=500) == {"queued": 20}
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/forwarding/tests/test_routes.py
@@ -0,0 +1,95 @@
+"""Tests of route look-up and of what a configuration must not contain."""
+
+from dataclasses import replace
+
+import pytest
+
+from cuminbend.exceptions import ConfigurationError
+from cuminbend.forwarding import (
+    Route,
+    RoutingTable,
+    ServicePolicy,
+    WeightedChoice,
+    WeightedService,
+    check_routing_table,
+)
+
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/a/",
+    idempotent=True,
+    timeout_ms=100,
+    objective_ms=50,
+    backends=(WeightedService("s", 1.0),),
+)
+SERVICES = {"s": ServicePolicy(name="s", max_connections=1)}
+
+
+def table(*routes: Route) -> RoutingTable:
+    return RoutingTable(version=1, routes=routes, services=SERVICES)
+
+
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/a/x", "short"),
+        ("/a/b/x", "long"),
+        ("/a/b/", "long"),
+        ("/a/b", "short"),
+        ("/a/bc/x", "short"),
+        ("/z/", None),
+        ("", None),
+    ],
+)
+def test_longest_prefix_wins(path: str, name: str | None) -> None:
+    """Guards against a request that goes to a service it is not meant for."""
+    routes = table(
+        replace(ROUTE, name="short"),
+        replace(ROUTE, name="long", path_prefix="/a/b/"),
+        replace(ROUTE, name="other", host="i", path_prefix="/"),
+    )
+    found = routes.find("h", path)
+    assert (found.name if found else None) == name
+    assert routes.find("unknown", path) is None
+
+
+@pytest.mark.parametrize(
+    ("routes", "problem"),
+    [
+        ((ROUTE, replace(ROUTE, name="r2")), "share host"),
+        ((replace(ROUTE, timeout_ms=0),), "timeout must be above 0"),
+        ((replace(ROUTE, backends=(WeightedService("x", 1.0),)),), "unknown service"),
+        ((replace(ROUTE, backends=(WeightedService("s", 0.0),)),), "add up to 0"),
+        ((replace(ROUTE, backends=()),), "names no service"),
+        ((replace(ROUTE, backends=(), shards=("s", "s")),), "a shard twice"),
+        ((replace(ROUTE, path_prefix="a/"),), "prefix must start"),
+    ],
+)
+def test_invalid_tables_are_refused(routes: tuple[Route, ...], problem: str) -> None:
+    """Guards against an invalid file that comes into force."""
+    with pytest.raises(ConfigurationError, match=problem):
+        check_routing_table(table(*routes))
+
+
+def test_valid_table_passes() -> None:
+    """Guards against a check that refuses everything."""
+    check_routing_table(table(ROUTE, replace(ROUTE, name="r2", path_prefix="/b/")))
+
+
+@pytest.mark.parametrize("offset", [0.0, 0.3, 0.9])
+def test_weights_hold_over_any_run(offset: float) -> None:
+    """Guards against shares that drift from the weights over a few hundred requests."""
+    backends = tuple(
+        WeightedService(name, w) for name, w in zip("abc", (5, 3, 2), strict=True)
+    )
+    choice = WeightedChoice(backends, offset=offset)
+    chosen = [choice.next() for _ in range(200)]
+    for item in backends:
+        assert abs(chosen.count(item.service) - 20 * item.weight) <= 2
+
+
+def test_service_without_weight_gets_nothing() -> None:
+    """Guards against requests for a service that is being taken out."""
+    choice = WeightedChoice((WeightedService("a", 1.0), WeightedService("b", 0.0)))
+    assert {choice.next() for _ in range(20)} == {"a"}
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_fanout.py
@@ -0,0 +1,168 @@
+"""Tests of requests that go to every shard."""
+
+import asyncio
+
+import pytest
+
+from cuminbendd.entry.tests._world import (
+    FakeUpstream,
+    SeenRequest,
+    World,
+    ok,
+    run,
+    status,
+    until,
+)
+
+SHARDS = ("s0", "s1", "s2", "s3")
+ROUTE = {"shards": SHARDS, "top_k": 3, "min_coverage": 0.75, "objective_ms": 200.0}
+
+
+def record(value: int) -> bytes:
+    return bytes([value]) * 16
+
+
+def shard(index: int, replica: int = 0) -> FakeUpstream:
+    """Return an upstream that answers with its own two records."""
+    up = FakeUpstream(f"u{index}-{replica}", SHARDS[index])
+
+    async def reply(request: SeenRequest) -> bytes:
+        body = record(index) + record(10 + index)
+        return ok(request, body, stamp=f"{up.name}.{len(up.seen)}".encode())
+
+    up.reply = reply
+    return up
+
+
+async def hang(request: SeenRequest) -> None:
+    await asyncio.sleep(30)
+
+
+def test_all_shards_are_merged() -> None:
+    """Guards against parts that are missing, repeated or in the wrong order."""
+
+    async def test() -> None:
+        async with World(*map(shard, range(4)), route=ROUTE) as world:
+            answer = await world.ask()
+            assert answer.status == 200
+            assert answer.body == record(13) + record(12) + record(11)
+            assert len(answer.headers[b"x-part-stamps"].split(b", ")) == 4
+            assert b"x-missing-parts" not in answer.headers
+
+    run(test)
+
+
+def test_missing_shard_is_told() -> None:
+    """Guards against an answer that claims more coverage than it has."""
+    ups = [shard(index) for index in range(4)]
+    ups[3].reply = hang
+
+    async def test() -> None:
+        async with World(*ups, route=ROUTE) as world:
+            answer = await world.ask()
+            assert answer.status == 200
+            assert answer.headers[b"x-missing-parts"] == b"1"
+            assert answer.body == record(12) + record(11) + record(10)
+
+    run(test)
+
+
+def test_too_little_coverage_is_no_success() -> None:
+    """Guards against a success below the coverage that operators ask for."""
+    ups = [shard(index) for index in range(4)]
+    for up in ups[2:]:
+        up.reply = hang
+
+    async def test() -> None:
+        async with World(*ups, route={**ROUTE, "timeout_ms": 400.0}) as world:
+            assert (await world.ask()).status == 504
+
+    run(test)
+
+
+def test_nothing_is_sent_if_too_few_shards_have_an_upstream() -> None:
+    """Guards against a query that runs although it cannot succeed."""
+    route = {**ROUTE, "shards": (*SHARDS, "s4", "s5")}
+
+    async def test() -> None:
+        ups = [shard(index) for index in range(4)]
+        async with World(*ups, route=route) as world:
+            answer = await world.ask()
+            assert answer.status in (502, 503)
+            if answer.status == 503:
+                assert not any(up.seen for up in ups)
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        status(500, b"x-stamp: failed"),
+        status(503, b"x-not-run: 1"),
+        b"no response at all\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    ],
+)
+def test_failed_part_is_asked_again_elsewhere(reply: bytes) -> None:
+    """Guards against a failure that counts as a part, or costs coverage."""
+    bad, good = shard(0, 0), shard(0, 1)
+
+    async def failing(request: SeenRequest) -> bytes:
+        return reply
+
+    bad.reply = failing
+
+    async def test() -> None:
+        async with World(bad, good, *map(shard, (1, 2, 3)), route=ROUTE) as world:
+            for number in range(4):
+                answer = await world.ask(request_id=f"i{number}")
+                assert answer.status == 200
+                assert b"x-missing-parts" not in answer.headers
+
+    run(test)
+
+
+def test_stragglers_are_hedged_within_the_budget() -> None:
+    """Guards against hedges beyond what the retry budget allows."""
+    slow = [shard(index, 0) for index in range(4)]
+    fast = [shard(index, 1) for index in range(4)]
+
+    async def test() -> None:
+        async with World(*slow, *fast, route=ROUTE, slack=0.0) as world:
+            assert (await world.ask()).status == 200
+            for up in slow:
+                up.reply = hang
+            for number in range(6):
+                await world.ask(request_id=f"i{number}")
+            firsts = 7
+            for index in range(4):
+                arrivals = len(slow[index].seen) + len(fast[index].seen)
+                assert arrivals <= 2 * firsts
+
+    run(test)
+
+
+def test_late_part_keeps_its_connection() -> None:
+    """Guards against a new connection for every straggler."""
+    up = shard(3)
+    good = up.reply
+    release = asyncio.Event()
+
+    async def late(request: SeenRequest) -> bytes | None:
+        await release.wait()
+        return await good(request)
+
+    up.reply = late
+
+    async def test() -> None:
+        ups = [*map(shard, range(3)), up]
+        async with World(*ups, route={**ROUTE, "max_attempts": 1}) as world:
+            assert (await world.ask()).headers[b"x-missing-parts"] == b"1"
+            release.set()
+            pool = world.entry._upstreams._pools[up.name]
+            await until(lambda: not pool.replica.in_flight)
+            assert (await world.ask(request_id="b")).status == 200
+            assert up.connections == 1
+
+    run(test)
