Answer within the caller's round trip, name near entry instances, and recover sooner

(3) After the loss of all processes, heartbeats were only recorded once a leader was elected, and fan-outs without enough upstreams were sent and then failed with 502.

Ruled out: late timers (front durations end at 36.5 ms); lack of processor time (4%).

--- a/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -217,6 +217,12 @@
                 best, best_score = replica, score
         return best
 
+    def has_any(self, *, now_ms: float, evacuated: Collection[str] = ()) -> bool:
+        """Return whether a replica takes work, be it cold."""
+        return any(
+            self._takes_work(replica, now_ms, evacuated) for replica in self.replicas
+        )
+
     def choose_cold(
         self,
         *,
--- a/packages/cuminbend/src/cuminbend/registry/_registrations.py
+++ b/packages/cuminbend/src/cuminbend/registry/_registrations.py
@@ -1,6 +1,7 @@
 """The latest heartbeat of each upstream, merged over all control instances."""
 
-from collections.abc import Iterator
+from collections import Counter
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, replace
 from enum import IntEnum
 
@@ -159,6 +160,16 @@
                 self.announce(silent[-1], now_ms=now_ms)
         return silent
 
+    def served(self, evacuated: Collection[str] = ()) -> dict[str, int]:
+        """Return the number of services with a ready upstream, by data centre."""
+        pairs = {
+            (row.registration.data_centre, row.registration.service)
+            for row in self._rows.values()
+            if row.registration.state is UpstreamState.READY
+            and row.registration.data_centre not in evacuated
+        }
+        return dict(Counter(data_centre for data_centre, _ in pairs))
+
     def changes_since(
         self, revision: int, *, now_ms: float, held_here: bool = False
     ) -> list[Registration]:
--- a/packages/cuminbendd/src/cuminbendd/control/_group.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_group.py
@@ -29,7 +29,11 @@
 
 logger = logging.getLogger(__name__)
 
-_ADMIT_INTERVAL_S = 0.5
+# Shorter than the defaults: no lease waits for an election here, and after the loss
+# of the whole group nothing is served until there is a leader.
+_ELECTION_TIMEOUT_MIN_MS = 350.0
+_ELECTION_TIMEOUT_MAX_MS = 700.0
+_RPC_TIMEOUT_MS = 200.0
 _ADMIT_TIMEOUT_MS = 300.0
 _READ_TIMEOUT_MS = 400.0
 _READ_WAIT_MS = 300.0
@@ -72,6 +76,9 @@
                 instance=settings.channel_address,
                 initial_voters=settings.control_addresses,
                 bootstraps=settings.bootstraps,
+                rpc_timeout_ms=_RPC_TIMEOUT_MS,
+                election_timeout_min_ms=_ELECTION_TIMEOUT_MIN_MS,
+                election_timeout_max_ms=_ELECTION_TIMEOUT_MAX_MS,
             ),
             storage=LogStorage(disk=self._disk, instance=settings.channel_address),
             transport=self._calls,
--- a/packages/cuminbendd/src/cuminbendd/control/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_instance.py
@@ -6,6 +6,7 @@
 import random
 from typing import Any
 
+from cuminbend.directory import EntryPlace
 from cuminbend.exceptions import UnavailableError
 from cuminbend.newest import (
     Command,
@@ -36,7 +37,7 @@
 
 logger = logging.getLogger(__name__)
 
-_TICK_MS = 200.0
+_TICK_MS = 100.0
 # A tick that comes this late means that the process stood still; heartbeats that
 # were due meanwhile are waiting to be read.
 _PAUSE_MS = 1000.0
@@ -198,7 +199,9 @@
 
     def status(self) -> Status:
         """Return the heartbeat to send."""
-        return Status(is_available=True, version=self._state.stored.version)
+        return Status(
+            is_available=True, is_busy=False, version=self._state.stored.version
+        )
 
     def on_update(self, source: str, update: Update) -> None:
         """Take news of another control instance."""
@@ -264,9 +267,11 @@
         """Return the control instances known here."""
         return self._members.live_controls()
 
-    def set_entry(self, entry: EntryInfo, *, is_available: bool) -> None:
+    def set_entry(
+        self, entry: EntryInfo, *, is_available: bool, reader: object
+    ) -> None:
         """Note that an entry instance reads the feed, and whether it takes callers."""
-        if self._members.set_entry(entry, is_available=is_available):
+        if self._members.set_entry(entry, is_available=is_available, reader=reader):
             logger.info(
                 "event=entry_%s instance=%s address=%s",
                 "available" if is_available else "leaving",
@@ -275,9 +280,9 @@
             )
             self._feed.notify()
 
-    def remove_entry(self, entry: EntryInfo) -> None:
-        """Note that an entry instance reads the feed no more."""
-        self._members.remove_entry(entry)
+    def remove_entry(self, entry: EntryInfo, *, reader: object) -> None:
+        """Note that a stream to an entry instance has ended."""
+        self._members.remove_entry(entry, reader=reader)
         self._feed.notify()
 
     def add_control(self, control: ControlInfo) -> None:
@@ -320,7 +325,6 @@
         Raises:
             UnavailableError: If this instance could not tell the others about it.
         """
-        self._check_current()
         before = self._registrations.revision
         now_ms = self._clock.monotonic_ms()
         if not self._registrations.announce(registration, now_ms=now_ms):
@@ -344,6 +348,9 @@
                 registration.cold_left_ms,
             )
             self._feed.notify()
+        # What was heard counts even if it is not acknowledged: after a restart of
+        # the whole group, everything is known once a leader is.
+        self._check_current()
         return self._members.announce_address_near(registration.data_centre)
 
     def withdraw(self, upstream: str) -> None:
@@ -380,6 +387,14 @@
         await self._group.newest_version()
         return self._state.stored
 
+    def directory(self) -> tuple[list[EntryPlace], dict[str, int]]:
+        """Return the entry instances, and the services that each data centre has."""
+        places = [
+            EntryPlace(entry.address, entry.data_centre, entry.is_busy)
+            for entry in self.entries()
+        ]
+        return places, self._registrations.served(self._state.evacuated)
+
     def dump(self) -> bytes:
         """Return the state for operators, as JSON."""
         return json.dumps(
--- a/packages/cuminbendd/src/cuminbendd/control/_members.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_members.py
@@ -26,24 +26,29 @@
         self._own = own
         self._lost_entries_ms = lost_entries_ms
         self._entries: dict[str, EntryInfo] = {}
+        self._readers: dict[str, object] = {}
         self._peer_entries: dict[str, _PeerEntries] = {}
         self._controls: dict[str, ControlInfo] = {}
         self._live: set[str] = set()
 
     # Entry instances
 
-    def set_entry(self, entry: EntryInfo, *, is_available: bool) -> bool:
+    def set_entry(
+        self, entry: EntryInfo, *, is_available: bool, reader: object
+    ) -> bool:
         """Note whether an entry instance takes callers; return whether that is news."""
+        self._readers[entry.instance] = reader
         held = self._entries.get(entry.instance)
         if is_available:
             self._entries[entry.instance] = entry
             return held != entry
         return self._entries.pop(entry.instance, None) is not None
 
-    def remove_entry(self, entry: EntryInfo) -> None:
-        """Note that an entry instance reads the feed no more."""
-        if self._entries.get(entry.instance) == entry:
-            del self._entries[entry.instance]
+    def remove_entry(self, entry: EntryInfo, *, reader: object) -> None:
+        """Note that a stream has ended; the instance may read another one by now."""
+        if self._readers.get(entry.instance) is reader:
+            del self._readers[entry.instance]
+            self._entries.pop(entry.instance, None)
 
     def own_entries(self) -> tuple[EntryInfo, ...]:
         """Return the entry instances that read the feed here."""
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -56,6 +56,7 @@
         self._route = route
         self._responder = responder
         self._received_ms = request.received_ms
+        self._travel_ms = request.travel_ms
         self._hedging = context.state_of(route).hedging
         self._version = context.table.version if context.table else 0
         self._prepared = PreparedRequest(
@@ -82,17 +83,22 @@
         self._responder.on_abandoned = self._on_abandoned
         for shard in self._shards:
             context.retries.earn(shard.service)
-            self._send(shard)
-        self._is_starting = False
-        if not self._gather.can_succeed(self._pending):
+        served = sum(context.upstreams.has_any(name) for name in self._route.shards)
+        if not self._gather.can_succeed(served):
             self._fail("too_few_upstreams")
             return
+        for shard in self._shards:
+            self._send(shard)
+        self._is_starting = False
         self._arm_timers()
+        self._answer_if_due()
 
     def _arm_timers(self) -> None:
         now_ms = self._context.clock.monotonic_ms()
         route, settings = self._route, self._context.settings
-        objective_ms = self._received_ms + settings.answer_by_ms(route.objective_ms)
+        objective_ms = self._received_ms + settings.answer_by_ms(
+            route.objective_ms, self._travel_ms
+        )
         deadline_ms = self._prepared.deadline_ms - _DEADLINE_MARGIN_MS
         self._call_later(objective_ms - now_ms, self._on_objective)
         self._call_later(deadline_ms - now_ms, self._on_deadline)
@@ -254,13 +260,18 @@
         self._end()
         sent = any(shard.may_have_run or shard.open for shard in self._shards)
         if not sent:
-            response = rejection(retry_after_ms=self._hedging.median_ms)
+            response = rejection(retry_after_ms=self._retry_after_ms(cause))
         elif cause == "timeout":
             response = HttpResponse(HTTPStatus.GATEWAY_TIMEOUT, [])
         else:
             response = HttpResponse(HTTPStatus.BAD_GATEWAY, [])
         self._answer(response, cause)
 
+    def _retry_after_ms(self, cause: str) -> float:
+        if cause == "too_few_upstreams":
+            return self._context.settings.no_upstream_retry_ms
+        return self._hedging.median_ms
+
     def _answer(self, response: HttpResponse, cause: str) -> None:
         self._responder.respond(response)
         missing = [shard.service for shard in self._shards if not shard.is_in]
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+from cuminbend.directory import EntryPlace
 from cuminbend.exceptions import ConfigurationError
 from cuminbend.forwarding import CallerLimits, RetryBudgets, RoutingTable
 from cuminbend.ports import Clock
@@ -27,6 +28,10 @@
 # turns away: about the time in which a restarted instance gets one.
 _NO_CONFIGURATION_RETRY_MS = 200.0
 _SWEEP_MS = 100.0
+# A timer is late by as long as other work holds the processor. Twenty requests to
+# shards take about 5 ms, so a mean beyond twice that means that requests queue up.
+_BUSY_LAG_MS = 10.0
+_LAG_WEIGHT = 0.1
 
 ConfigurationDecoder = Callable[[bytes], RoutingTable]
 
@@ -66,7 +71,9 @@
         self._feed = FeedClient(
             sink=self, clock=clock, candidates=self._control_candidates
         )
+        self._entries: tuple[EntryInfo, ...] = ()
         self._is_stopping = False
+        self._lag_ms = 0.0
         self.server = HttpServer(
             handler=self.handle, clock=clock, limits=self._caller_limits
         )
@@ -141,7 +148,10 @@
 
     async def _sweep(self) -> None:
         while True:
+            due_ms = self._clock.monotonic_ms() + _SWEEP_MS
             await asyncio.sleep(_SWEEP_MS / 1000)
+            late_ms = self._clock.monotonic_ms() - due_ms
+            self._lag_ms += _LAG_WEIGHT * (late_ms - self._lag_ms)
             self._upstreams.expire_silent()
             self._upstreams.drop_unconfirmed()
 
@@ -170,6 +180,15 @@
         kind = FanOutRequest if route.shards else SingleRequest
         kind(context=context, route=route, request=request, responder=responder).start()
 
+    def directory(self) -> tuple[list[EntryPlace], dict[str, int]]:
+        """Return the entry instances, and the services that each data centre has."""
+        places = [
+            EntryPlace(entry.address, entry.data_centre, entry.is_busy)
+            for entry in self._entries
+            if entry.instance != self.settings.instance or self.is_ready
+        ]
+        return places, self._upstreams.served()
+
     def dump(self) -> bytes:
         """Return the state for operators, as JSON."""
         return json.dumps(
@@ -211,7 +230,11 @@
 
     def status(self) -> Status:
         """Return the heartbeat to send."""
-        return Status(is_available=self.is_ready, version=self.version)
+        return Status(
+            is_available=self.is_ready,
+            is_busy=self._lag_ms > _BUSY_LAG_MS,
+            version=self.version,
+        )
 
     def on_update(self, source: str, update: Update) -> None:
         """Take news."""
@@ -227,6 +250,7 @@
                 logger.info("event=evacuated data_centres=%s", sorted(evacuated))
             self._upstreams.set_evacuated(evacuated)
         if update.entries is not None:
+            self._entries = update.entries
             self._upstreams.set_entries(item.instance for item in update.entries)
             self._retries.resize(self._upstreams.instances)
         if update.registrations or update.is_full:
--- a/packages/cuminbendd/src/cuminbendd/entry/_settings.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_settings.py
@@ -15,14 +15,17 @@
         caller_address: ``host:port`` that callers connect to.
         control_addresses: Channel addresses of control instances to start from; some
             may be wrong or down.
-        answer_margin_ms: Part of the objective kept for the way back to the caller,
-            which an entry instance cannot see.
-        answer_margin_share: Share of the objective kept on top, for late timers.
+        answer_margin_ms: Part of the objective kept besides the time that request
+            and answer travel, for late timers and the merge.
+        answer_margin_share: Share of the objective kept on top.
         connect_timeout_ms: Limit of opening a connection to an upstream.
         abandon_after_ms: Time that work of a caller who left may still take; most of
             it ends by itself within that time and keeps its connection.
         idle_connection_ms: Idle time after which a connection to an upstream that
             names no time-out is not used again.
+        no_upstream_retry_ms: Time to come back in, told to a caller whose request has
+            no upstream: about the time in which heartbeats or a new connection
+            bring one back.
         cold_rate_per_s: Requests a second to a cold upstream that declares no rate.
         cold_safety: Share of a declared cold rate that is used; the rest covers a
             change of the instance that may use it.
@@ -39,18 +42,26 @@
     control_addresses: tuple[str, ...]
     placement: PlacementSettings = field(default_factory=PlacementSettings)
     retries: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
-    answer_margin_ms: float = 7.0
-    answer_margin_share: float = 0.04
+    answer_margin_ms: float = 2.5
+    answer_margin_share: float = 0.02
     connect_timeout_ms: float = 300.0
     abandon_after_ms: float = 150.0
     idle_connection_ms: float = 4000.0
+    no_upstream_retry_ms: float = 250.0
     cold_rate_per_s: float = 1.0
     cold_safety: float = 0.5
     drain_ms: float = 4200.0
     stop_ms: float = 5400.0
     unconfirmed_lifetime_ms: float = 10_000.0
 
-    def answer_by_ms(self, objective_ms: float) -> float:
-        """Return how long after its arrival a request should be answered."""
-        margin_ms = self.answer_margin_ms + self.answer_margin_share * objective_ms
+    def answer_by_ms(self, objective_ms: float, travel_ms: float) -> float:
+        """Return how long after its arrival a request should be answered.
+
+        Args:
+            objective_ms: Time allowed between the caller's start and the end.
+            travel_ms: Part of it that passes outside this instance.
+        """
+        margin_ms = (
+            travel_ms + self.answer_margin_ms + self.answer_margin_share * objective_ms
+        )
         return max(objective_ms - margin_ms, objective_ms / 2)
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -178,6 +178,8 @@
 
     def _reject(self, cause: str) -> None:
         retry_after_ms = self._state.hedging.median_ms
+        if cause == "no_upstream":
+            retry_after_ms = self._context.settings.no_upstream_retry_ms
         self._answer(rejection(retry_after_ms=retry_after_ms), f"rejected_{cause}")
 
     def _on_deadline(self) -> None:
@@ -196,15 +198,16 @@
         self._responder.respond(response)
         logger.info(
             "event=request_ended request=%s route=%s outcome=%s status=%d "
-            "duration_ms=%.1f upstream=%s hedges=%d tried=%d version=%d",
+            "duration_ms=%.1f service=%s upstream=%s hedges=%d tried=%s version=%d",
             self._request_id,
             self._route.name,
             cause,
             response.status,
             self._context.clock.monotonic_ms() - self._received_ms,
+            self._service,
             attempt.replica.upstream if attempt else "",
             self._hedges,
-            len(self._tried),
+            ",".join(self._tried),
             self._context.table.version if self._context.table else 0,
         )
 
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import logging
+from collections import Counter
 from collections.abc import Collection, Iterable
 
 from cuminbend.budgets import TokenBudget
@@ -254,6 +255,28 @@
 
     # Choice
 
+    def has_any(self, service: str) -> bool:
+        """Return whether an upstream of the service takes work now."""
+        group = self._groups.get(service)
+        if group is None:
+            return False
+        now_ms = self.clock.monotonic_ms()
+        return group.has_any(now_ms=now_ms, evacuated=self.evacuated)
+
+    def served(self) -> dict[str, int]:
+        """Return the number of services with a ready upstream, by data centre."""
+        places: Counter[str] = Counter()
+        for group in self._groups.values():
+            places.update(
+                {
+                    replica.data_centre
+                    for replica in group.replicas
+                    if replica.state is ReplicaState.READY
+                    and replica.data_centre not in self.evacuated
+                }
+            )
+        return dict(places)
+
     def choose(
         self, service: str, *, excluded: Collection[str] = ()
     ) -> ConnectionPool | None:
--- a/packages/cuminbendd/src/cuminbendd/feed/_messages.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_messages.py
@@ -25,11 +25,13 @@
 
     Attributes:
         address: ``host:port`` for callers.
+        is_busy: Whether it has little processor time left.
     """
 
     instance: str
     address: str
     data_centre: str
+    is_busy: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -71,10 +73,12 @@
 
     Attributes:
         is_available: Whether an entry instance takes new callers.
+        is_busy: Whether it has little processor time left.
         version: Version of the configuration that it has in force.
     """
 
     is_available: bool
+    is_busy: bool
     version: int
 
 
--- a/packages/cuminbendd/src/cuminbendd/feed/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from cuminbend.exceptions import ChannelError
@@ -59,11 +59,13 @@
     def controls(self) -> tuple[ControlInfo, ...]:
         """Return the control instances known here."""
 
-    def set_entry(self, entry: EntryInfo, *, is_available: bool) -> None:
+    def set_entry(
+        self, entry: EntryInfo, *, is_available: bool, reader: object
+    ) -> None:
         """Note that an entry instance reads the feed, and whether it takes callers."""
 
-    def remove_entry(self, entry: EntryInfo) -> None:
-        """Note that an entry instance reads the feed no more."""
+    def remove_entry(self, entry: EntryInfo, *, reader: object) -> None:
+        """Note that a stream to an entry instance has ended."""
 
     def add_control(self, control: ControlInfo) -> None:
         """Note that a control instance reads the feed."""
@@ -112,7 +114,7 @@
             cause = repr(errors.exceptions[0])
         finally:
             if hello.entry is not None:
-                self._source.remove_entry(hello.entry)
+                self._source.remove_entry(hello.entry, reader=stream)
             logger.info("event=reader_left reader=%s cause='%s'", hello.instance, cause)
 
     async def _read(self, hello: Hello, stream: FrameStream) -> None:
@@ -122,7 +124,11 @@
             async with asyncio.timeout(SILENCE_MS / 1000):
                 _, status = await stream.read()
             if hello.entry is not None and isinstance(status, Status):
-                self._source.set_entry(hello.entry, is_available=status.is_available)
+                self._source.set_entry(
+                    replace(hello.entry, is_busy=status.is_busy),
+                    is_available=status.is_available,
+                    reader=stream,
+                )
 
     async def _write(self, hello: Hello, stream: FrameStream) -> None:
         sent = _Sent(version=hello.version)
--- a/packages/cuminbendd/src/cuminbendd/http1/_messages.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/_messages.py
@@ -21,6 +21,8 @@
         target: Path and query as sent.
         headers: Names in lower case, values as sent.
         received_ms: Monotonic time at which it was complete.
+        travel_ms: Time that passes outside this instance between the caller's start
+            and the end: one round trip, two if a connection was made for it.
     """
 
     method: bytes
@@ -28,6 +30,7 @@
     headers: Headers
     body: bytes
     received_ms: float
+    travel_ms: float = 0.0
 
     @property
     def path(self) -> str:
--- a/packages/cuminbendd/src/cuminbendd/http1/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -19,6 +21,9 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Requests that a caller may send ahead of answers on one connection.
 _MAX_PIPELINED = 32
+# Place of ``tcpi_rtt``, in us, in the kernel's ``struct tcp_info``.
+_TCP_INFO_BYTES = 104
+_TCP_INFO_RTT_OFFSET = 68
 
 
 class Responder:
@@ -148,6 +153,8 @@
         self._closing = False
         self._last_active_ms = server.clock.monotonic_ms()
         self._message_start_ms: float | None = None
+        self._round_trip_ms = 0.0
+        self._requests = 0
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -163,6 +170,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Transports of uvloop do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
+        self._round_trip_ms = _round_trip_ms(self._transport)
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -259,12 +267,14 @@
 
     def on_message_complete(self) -> None:
         self._message_start_ms = None
+        self._requests += 1
         request = HttpRequest(
             method=self._parser.get_method(),
             target=self._target,
             headers=self._headers,
             body=b"".join(self._body),
             received_ms=self._server.clock.monotonic_ms(),
+            travel_ms=self._round_trip_ms * (2 if self._requests == 1 else 1),
         )
         if len(self._waiting) >= _MAX_PIPELINED:
             raise _RejectedError(HTTPStatus.TOO_MANY_REQUESTS, "pipelined")
@@ -311,6 +321,19 @@
         self.close()
 
 
+def _round_trip_ms(transport: asyncio.Transport) -> float:
+    """Return the round trip that the kernel has measured, 0 if it does not say."""
+    connection = transport.get_extra_info("socket")
+    try:
+        info = connection.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
+        )
+    except (AttributeError, OSError):
+        return 0.0
+    (round_trip_us,) = struct.unpack_from("I", info, _TCP_INFO_RTT_OFFSET)
+    return float(round_trip_us) / 1000
+
+
 class _RejectedError(Exception):
     """A request that breaks a limit."""
 
