--- a/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -31,7 +31,7 @@
         max_overdue: Overdue attempts at which a replica gets no more.
     """
 
-    remote_cost: float = 2.0
+    remote_cost: float = 3.5
     overdue_cost: float = 8.0
     failure_cost: float = 6.0
     sample_weight: float = 0.25
