Let other entry instances ask and merge the shards of their data centre

On the grown sites one instance would send 90 requests in a row.

Ruled out: naming only instances near the upstreams (the shards lie in all data centres); shorter messages (340 bytes, mostly headers that every upstream needs).

A task that is not accepted in time is asked directly and its instance gets none for a second.

--- a/packages/cuminbend/src/cuminbend/forwarding/__init__.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Decisions about a request that is passed on to upstreams unchanged."""
 
+from cuminbend.forwarding._delegation import FanOutPlan, plan_fan_out
 from cuminbend.forwarding._gather import Gather, Part, merge_greatest
 from cuminbend.forwarding._hedging import HedgeDelay
 from cuminbend.forwarding._replicas import (
@@ -21,6 +22,7 @@
 
 __all__ = [
     "CallerLimits",
+    "FanOutPlan",
     "Gather",
     "HedgeDelay",
     "Part",
@@ -37,4 +39,5 @@
     "WeightedService",
     "check_routing_table",
     "merge_greatest",
+    "plan_fan_out",
 ]
--- a/packages/cuminbend/src/cuminbend/forwarding/_gather.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_gather.py
@@ -1,5 +1,6 @@
 """Parts of a fan-out: what is in, whether to answer, and the merged records."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 RECORD_BYTES = 16
@@ -48,35 +49,57 @@
     def __init__(self, *, shards: tuple[str, ...], min_coverage: float) -> None:
         self._total = len(shards)
         self._min_coverage = min_coverage
-        self._stamps: set[bytes] = set()
-        self.parts: dict[str, Part] = {}
+        self._stamps: dict[str, bytes] = {}
+        self._seen: set[bytes] = set()
+        self._bodies: list[bytes] = []
 
     @property
     def missing(self) -> int:
         """Shards that are not in."""
-        return self._total - len(self.parts)
+        return self._total - len(self._stamps)
 
     @property
     def coverage(self) -> float:
         """Share of the shards that are in."""
-        return len(self.parts) / self._total
+        return len(self._stamps) / self._total
 
     @property
     def is_success(self) -> bool:
         """Whether enough shards are in for a success."""
-        return bool(self.parts) and self.coverage >= self._min_coverage - 1e-9
+        return bool(self._stamps) and self.coverage >= self._min_coverage - 1e-9
 
     def add(self, shard: str, part: Part) -> bool:
         """Add a part; return False if it repeats a shard or another part's stamp."""
-        if shard in self.parts or part.stamp in self._stamps:
+        return self.add_group({shard: part.stamp}, part.body)
+
+    def add_group(self, stamps: Mapping[str, bytes], records: bytes) -> bool:
+        """Add the merged records of several shards, all of them or none.
+
+        Args:
+            stamps: Signature of each shard's part.
+            records: The greatest records of these parts, at least as many as the
+                whole answer may hold.
+
+        Returns:
+            False if a shard or a signature is in already.
+        """
+        new = set(stamps.values())
+        if len(new) < len(stamps) or not self._seen.isdisjoint(new):
             return False
-        self._stamps.add(part.stamp)
-        self.parts[shard] = part
+        if not self._stamps.keys().isdisjoint(stamps):
+            return False
+        self._seen |= new
+        self._stamps.update(stamps)
+        self._bodies.append(records)
         return True
 
+    def has(self, shard: str) -> bool:
+        """Return whether a shard is in."""
+        return shard in self._stamps
+
     def can_succeed(self, pending: int) -> bool:
         """Return whether ``pending`` more shards could make it a success."""
-        reachable = (len(self.parts) + pending) / self._total
+        reachable = (len(self._stamps) + pending) / self._total
         return reachable >= self._min_coverage - 1e-9
 
     def should_answer(self, *, pending: int, objective_passed: bool) -> bool:
@@ -87,8 +110,8 @@
 
     def stamps(self) -> list[bytes]:
         """Return the signatures of the parts that are in."""
-        return [part.stamp for part in self.parts.values()]
+        return list(self._stamps.values())
 
     def merged(self, top_k: int) -> bytes:
         """Return the ``top_k`` greatest records of the parts that are in."""
-        return merge_greatest([part.body for part in self.parts.values()], top_k)
+        return merge_greatest(self._bodies, top_k)
--- a/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -217,10 +217,14 @@
                 best, best_score = replica, score
         return best
 
-    def has_any(self, *, now_ms: float, evacuated: Collection[str] = ()) -> bool:
-        """Return whether a replica takes work, be it cold."""
-        return any(
-            self._takes_work(replica, now_ms, evacuated) for replica in self.replicas
+    def places(
+        self, *, now_ms: float, evacuated: Collection[str] = ()
+    ) -> frozenset[str]:
+        """Return the data centres with a replica that takes work, be it cold."""
+        return frozenset(
+            replica.data_centre
+            for replica in self.replicas
+            if self._takes_work(replica, now_ms, evacuated)
         )
 
     def choose_cold(
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/_delegation.py
@@ -0,0 +1,268 @@
+"""Groups of shards that other entry instances ask on behalf of this one."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Iterable
+
+from cuminbend.ports import Clock
+
+from cuminbendd.channel import parse_address
+from cuminbendd.entry._peers import (
+    Accepted,
+    Cancel,
+    Delegate,
+    Merged,
+    PeerConnection,
+    PeerMessage,
+)
+from cuminbendd.feed import EntryInfo
+
+logger = logging.getLogger(__name__)
+
+_CONNECT_TIMEOUT_S = 0.5
+# An instance that did not take a task in time gets none for this long.
+_SUSPECT_MS = 1000.0
+# Round trip assumed before one was measured, and the weight of a new measurement.
+_INITIAL_ROUND_TRIP_MS = 5.0
+_SAMPLE_WEIGHT = 0.2
+# A task counts as not taken after this many round trips and this time on top: an
+# instance of about one core may send twenty requests before it reads the task.
+_ACCEPT_ROUND_TRIPS = 2.0
+_ACCEPT_MARGIN_MS = 12.0
+
+
+class Delegation:
+    """One group of shards at one other instance.
+
+    Attributes:
+        shards: The group; parts name them by position.
+        is_open: Whether parts may still come.
+    """
+
+    def __init__(
+        self,
+        *,
+        shards: tuple[str, ...],
+        on_merged: "Callable[[Delegation, Merged], None]",
+        on_failed: "Callable[[Delegation], None]",
+    ) -> None:
+        self.shards = shards
+        self.on_merged = on_merged
+        self.on_failed = on_failed
+        self.is_open = True
+        self.is_accepted = False
+        self.cancel: Callable[[], None] = lambda: None
+
+
+class Peer:
+    """Another entry instance that can help."""
+
+    def __init__(self, *, info: EntryInfo, clock: Clock) -> None:
+        self.info = info
+        self._clock = clock
+        self._connection: PeerConnection | None = None
+        self._connecting: asyncio.Task[None] | None = None
+        self._tasks: dict[int, Delegation] = {}
+        self._sent_ms: dict[int, float] = {}
+        self._timers: dict[int, asyncio.TimerHandle] = {}
+        self._last_id = 0
+        self._suspect_until_ms = 0.0
+        self.round_trip_ms = _INITIAL_ROUND_TRIP_MS
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether it can be given a task now."""
+        return (
+            self._connection is not None
+            and self._connection.is_open
+            and not self.info.is_busy
+            and self._suspect_until_ms <= self._clock.monotonic_ms()
+        )
+
+    @property
+    def open_tasks(self) -> int:
+        """Tasks that it has not finished."""
+        return len(self._tasks)
+
+    def connect(self) -> None:
+        """Open the connection if there is none and the instance is not suspect."""
+        if self._connection is not None and self._connection.is_open:
+            return
+        if self._connecting is not None and not self._connecting.done():
+            return
+        if self._suspect_until_ms <= self._clock.monotonic_ms():
+            self._connecting = asyncio.ensure_future(self._connect())
+
+    async def _connect(self) -> None:
+        host, port = parse_address(self.info.helper_address)
+        loop = asyncio.get_running_loop()
+        connection = PeerConnection(self)
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                await loop.create_connection(lambda: connection, host, port)
+        except (OSError, TimeoutError) as error:
+            self._suspect(f"unreachable: {type(error).__name__}")
+            return
+        self._connection = connection
+
+    def start(
+        self,
+        delegation: Delegation,
+        build: Callable[[int, float], Delegate],
+    ) -> None:
+        """Give it a task; ``build`` gets the task's number and the round trip in ms."""
+        assert self._connection is not None
+        self._last_id += 1
+        task_id = self._last_id
+        self._tasks[task_id] = delegation
+        self._sent_ms[task_id] = self._clock.monotonic_ms()
+        delegation.cancel = lambda: self._cancel(task_id)
+        self._connection.send(build(task_id, self.round_trip_ms))
+        limit_ms = _ACCEPT_ROUND_TRIPS * self.round_trip_ms + _ACCEPT_MARGIN_MS
+        loop = asyncio.get_running_loop()
+        self._timers[task_id] = loop.call_later(
+            limit_ms / 1000, self._on_not_accepted, task_id
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connecting is not None:
+            self._connecting.cancel()
+        if self._connection is not None:
+            self._connection.close()
+
+    def on_message(self, connection: PeerConnection, message: PeerMessage) -> None:
+        """Take what the other instance says about a task."""
+        if not isinstance(message, Accepted | Merged):
+            return
+        delegation = self._tasks.get(message.task_id)
+        if delegation is None:
+            return
+        if isinstance(message, Accepted):
+            self._note_accepted(message.task_id, delegation)
+        else:
+            if message.is_final:
+                self._forget(message.task_id)
+                delegation.is_open = False
+            delegation.on_merged(delegation, message)
+
+    def on_closed(self, connection: PeerConnection) -> None:
+        """Fail all tasks; the instance may be gone."""
+        if connection is not self._connection:
+            return
+        self._connection = None
+        for task_id, delegation in list(self._tasks.items()):
+            self._forget(task_id)
+            self._fail(delegation)
+
+    def _note_accepted(self, task_id: int, delegation: Delegation) -> None:
+        delegation.is_accepted = True
+        timer = self._timers.pop(task_id, None)
+        if timer is not None:
+            timer.cancel()
+        taken_ms = self._clock.monotonic_ms() - self._sent_ms[task_id]
+        self.round_trip_ms += _SAMPLE_WEIGHT * (taken_ms - self.round_trip_ms)
+
+    def _on_not_accepted(self, task_id: int) -> None:
+        delegation = self._tasks.get(task_id)
+        if delegation is None:
+            return
+        self._suspect("task_not_accepted")
+        # Closing the connection keeps the instance from starting tasks late.
+        connection = self._connection
+        if connection is not None:
+            connection.close()
+            self.on_closed(connection)
+
+    def _suspect(self, cause: str) -> None:
+        self._suspect_until_ms = self._clock.monotonic_ms() + _SUSPECT_MS
+        logger.warning(
+            "event=helper_suspect instance=%s cause='%s' round_trip_ms=%.1f",
+            self.info.instance,
+            cause,
+            self.round_trip_ms,
+        )
+
+    def _cancel(self, task_id: int) -> None:
+        if task_id in self._tasks:
+            self._tasks[task_id].is_open = False
+            self._forget(task_id)
+            if self._connection is not None:
+                self._connection.send(Cancel(task_id))
+
+    def _forget(self, task_id: int) -> None:
+        self._tasks.pop(task_id, None)
+        self._sent_ms.pop(task_id, None)
+        timer = self._timers.pop(task_id, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _fail(self, delegation: Delegation) -> None:
+        if delegation.is_open:
+            delegation.is_open = False
+            delegation.on_failed(delegation)
+
+
+class Peers:
+    """The other entry instances.
+
+    Args:
+        own: Name of this instance.
+        clock: Source of time.
+    """
+
+    def __init__(self, *, own: str, clock: Clock) -> None:
+        self._own = own
+        self._clock = clock
+        self._peers: dict[str, Peer] = {}
+
+    def set_entries(self, entries: Iterable[EntryInfo]) -> None:
+        """Take the entry instances in the directory."""
+        wanted = {
+            entry.instance: entry
+            for entry in entries
+            if entry.helper_address and entry.instance != self._own
+        }
+        for name in set(self._peers) - set(wanted):
+            self._peers.pop(name).close()
+        for name, entry in wanted.items():
+            peer = self._peers.get(name)
+            if peer is None or peer.info.helper_address != entry.helper_address:
+                if peer is not None:
+                    peer.close()
+                peer = self._peers[name] = Peer(info=entry, clock=self._clock)
+            peer.info = entry
+            peer.connect()
+
+    def reconnect(self) -> None:
+        """Open the connections that are missing."""
+        for peer in self._peers.values():
+            peer.connect()
+
+    def usable(self) -> dict[str, int]:
+        """Return the number of instances that can be given a task, by data centre."""
+        counts: dict[str, int] = {}
+        for peer in self._peers.values():
+            if peer.is_usable:
+                place = peer.info.data_centre
+                counts[place] = counts.get(place, 0) + 1
+        return counts
+
+    def choose(self, data_centre: str, excluded: Iterable[Peer] = ()) -> Peer | None:
+        """Return the instance with the fewest open tasks in a data centre."""
+        taken = set(excluded)
+        usable = [
+            peer
+            for peer in self._peers.values()
+            if peer.info.data_centre == data_centre
+            and peer.is_usable
+            and peer not in taken
+        ]
+        random.shuffle(usable)
+        return min(usable, key=lambda peer: peer.open_tasks, default=None)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for peer in self._peers.values():
+            peer.close()
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -3,42 +3,27 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from cuminbend.forwarding import Gather, Part, Route
+from cuminbend.forwarding import Gather, Part, Route, plan_fan_out
 
-from cuminbendd.entry._attempts import Attempt, Outcome
+from cuminbendd.entry._delegation import Delegation, Peer
 from cuminbendd.entry._forwarding import (
     ForwardingContext,
     PreparedRequest,
     deadline_of,
     rejection,
 )
-from cuminbendd.http1 import HttpRequest, HttpResponse, Responder, UpstreamResponse
+from cuminbendd.entry._peers import Delegate, Merged
+from cuminbendd.entry._shards import ShardFanOut
+from cuminbendd.http1 import HttpRequest, HttpResponse, Responder
 
 logger = logging.getLogger(__name__)
 
 # The answer at the deadline leaves this long before it, so that it still counts.
 _DEADLINE_MARGIN_MS = 15.0
-# Rejections by full upstreams that are tried elsewhere beyond the attempts allowed.
-_MAX_REJECTED = 2
-# Attempts sent after the first round are looked at again after this share of the
-# hedge delay.
-_TICK_SHARE = 0.5
-_MIN_TICK_MS = 3.0
-
-
-@dataclass(slots=True)
-class _Shard:
-    """Attempts for one shard of the request."""
-
-    service: str
-    tried: list[str] = field(default_factory=list)
-    open: list[Attempt] = field(default_factory=list)
-    may_have_run: int = 0
-    rejected: int = 0
-    is_in: bool = False
+# Time kept for reading and merging what another instance sends at the last moment.
+_MERGE_MARGIN_MS = 1.5
 
 
 class FanOutRequest:
@@ -56,54 +41,72 @@
         self._route = route
         self._responder = responder
         self._received_ms = request.received_ms
-        self._travel_ms = request.travel_ms
-        self._hedging = context.state_of(route).hedging
         self._version = context.table.version if context.table else 0
-        self._prepared = PreparedRequest(
+        self._hedging = context.state_of(route).hedging
+        self._prepared = PreparedRequest.of(
             request,
             dialect=context.dialect,
             deadline_ms=deadline_of(request, dialect=context.dialect, route=route),
         )
+        self._answer_by_ms = self._received_ms + context.settings.answer_by_ms(
+            route.objective_ms, request.travel_ms
+        )
         self._gather = Gather(shards=route.shards, min_coverage=route.min_coverage)
-        self._shards = [_Shard(service) for service in route.shards]
+        self._fan_out = self._new_fan_out(route.max_attempts)
+        # Shards that were given to another instance in vain: it may have sent one
+        # attempt each.
+        self._fallback = self._new_fan_out(max(1, route.max_attempts - 1))
+        self._delegations: list[Delegation] = []
         self._loop = asyncio.get_running_loop()
         self._timers: list[asyncio.TimerHandle] = []
         self._objective_passed = False
         self._is_starting = True
         self._is_answered = False
-        self._hedges = 0
+
+    def _new_fan_out(self, max_attempts: int) -> ShardFanOut:
+        return ShardFanOut(
+            context=self._context,
+            prepared=self._prepared,
+            hedging=self._hedging,
+            max_attempts=max_attempts,
+            on_part=self._on_part,
+            on_progress=self._answer_if_due,
+        )
 
     @property
     def _request_id(self) -> str:
         return self._prepared.request_id.decode("latin-1")
 
     def start(self) -> None:
-        """Send one attempt to each shard."""
-        context = self._context
+        """Send one attempt to each shard, or have it sent."""
+        upstreams = self._context.upstreams
         self._responder.on_abandoned = self._on_abandoned
-        for shard in self._shards:
-            context.retries.earn(shard.service)
-        served = sum(context.upstreams.has_any(name) for name in self._route.shards)
-        if not self._gather.can_succeed(served):
+        places = {name: upstreams.places(name) for name in self._route.shards}
+        if not self._gather.can_succeed(sum(map(bool, places.values()))):
             self._fail("too_few_upstreams")
             return
-        for shard in self._shards:
-            self._send(shard)
+        peers = self._context.peers
+        plan = plan_fan_out(
+            self._route.shards,
+            own=self._context.settings.data_centre,
+            places=places,
+            helpers=peers.usable() if peers else {},
+        )
+        helpers: list[Peer] = []
+        direct = plan.direct
+        for data_centre, group in plan.delegated:
+            if not self._delegate(data_centre, group, helpers):
+                direct += group
+        self._fan_out.start(direct)
         self._is_starting = False
         self._arm_timers()
         self._answer_if_due()
 
     def _arm_timers(self) -> None:
         now_ms = self._context.clock.monotonic_ms()
-        route, settings = self._route, self._context.settings
-        objective_ms = self._received_ms + settings.answer_by_ms(
-            route.objective_ms, self._travel_ms
-        )
         deadline_ms = self._prepared.deadline_ms - _DEADLINE_MARGIN_MS
-        self._call_later(objective_ms - now_ms, self._on_objective)
+        self._call_later(self._answer_by_ms - now_ms, self._on_objective)
         self._call_later(deadline_ms - now_ms, self._on_deadline)
-        if route.max_attempts > 1:
-            self._call_later(self._hedging.delay_ms, self._on_tick)
 
     def _call_later(self, delay_ms: float, action: Callable[[], None]) -> None:
         delay_s = max(0.0, delay_ms) / 1000
@@ -112,123 +115,89 @@
     @property
     def _pending(self) -> int:
         """Shards that are not in and may still come in."""
-        return sum(bool(shard.open) and not shard.is_in for shard in self._shards)
-
-    # Attempts
+        delegated = sum(
+            not self._gather.has(shard)
+            for delegation in self._delegations
+            if delegation.is_open
+            for shard in delegation.shards
+        )
+        return delegated + self._fan_out.pending + self._fallback.pending
 
-    def _send(self, shard: _Shard) -> bool:
-        context = self._context
-        pool = context.upstreams.choose(shard.service, excluded=shard.tried)
-        if pool is None:
-            return False
+    # Parts
 
-        def on_done(
-            attempt: Attempt, outcome: Outcome, response: UpstreamResponse | None
-        ) -> None:
-            self._on_attempt_done(shard, attempt, outcome, response)
+    def _on_part(self, shard: str, part: Part) -> bool:
+        return self._gather.add(shard, part)
 
-        attempt = Attempt(
-            directory=context.upstreams,
-            pool=pool,
-            request_id=self._prepared.request_id,
-            is_idempotent=True,
-            hedging=self._hedging,
-            deadline_ms=self._prepared.deadline_ms,
-            encode=self._encode,
-            on_done=on_done,
+    def _delegate(
+        self, data_centre: str, group: tuple[str, ...], helpers: list[Peer]
+    ) -> bool:
+        """Give a group to an instance of a data centre; return whether one took it."""
+        peers = self._context.peers
+        peer = peers.choose(data_centre, helpers) if peers else None
+        if peer is None:
+            return False
+        helpers.append(peer)
+        delegation = Delegation(
+            shards=group, on_merged=self._on_merged, on_failed=self._on_helper_failed
         )
-        shard.tried.append(pool.replica.upstream)
-        shard.open.append(attempt)
-        attempt.start()
-        return True
-
-    def _encode(self, attempt: Attempt) -> bytes | None:
-        if self._is_answered:
-            return None
-        now_ms = self._context.clock.monotonic_ms()
-        return self._prepared.encode(attempt, now_ms)
+        self._delegations.append(delegation)
+        route, prepared = self._route, self._prepared
+
+        def build(task_id: int, round_trip_ms: float) -> Delegate:
+            now_ms = self._context.clock.monotonic_ms()
+            answer_in_ms = self._answer_by_ms - now_ms - round_trip_ms
+            return Delegate(
+                task_id=task_id,
+                request_id=prepared.request_id,
+                head=prepared.head,
+                body=prepared.body,
+                shards=group,
+                route=route.name,
+                answer_in_ms=max(0.0, answer_in_ms - _MERGE_MARGIN_MS),
+                deadline_in_ms=max(0.0, prepared.deadline_ms - now_ms - round_trip_ms),
+                max_attempts=route.max_attempts,
+                top_k=route.top_k,
+            )
 
-    def _may_send_again(self, shard: _Shard) -> bool:
-        """Return whether another attempt is allowed, and book it."""
-        if shard.rejected > _MAX_REJECTED:
-            return False
-        if shard.may_have_run + len(shard.open) >= self._route.max_attempts:
-            return False
-        # The first arrival at each shard is not extra.
-        return not shard.tried or self._context.retries.try_spend(shard.service)
+        peer.start(delegation, build)
+        return True
 
-    def _on_tick(self) -> None:
-        """Hedge attempts that are overdue, and retry shards that had no upstream."""
+    def _on_merged(self, delegation: Delegation, merged: Merged) -> None:
         if self._is_answered:
             return
-        delay_ms = self._hedging.delay_ms
-        now_ms = self._context.clock.monotonic_ms()
-        hedged = []
-        for shard in self._shards:
-            if shard.is_in:
-                continue
-            overdue = [
-                attempt
-                for attempt in shard.open
-                if now_ms - attempt.started_ms >= delay_ms - 1.0
-            ]
-            for attempt in overdue:
-                attempt.mark_overdue()
-            if len(overdue) < len(shard.open):
-                continue
-            if self._may_send_again(shard) and self._send(shard):
-                hedged.append(shard.service)
-        if hedged:
-            self._hedges += len(hedged)
-            logger.info(
-                "event=hedged request=%s services=%s delay_ms=%.1f elapsed_ms=%.1f",
+        stamps = {
+            delegation.shards[position]: stamp
+            for position, stamp in merged.stamps.items()
+        }
+        if stamps and not self._gather.add_group(stamps, merged.records):
+            logger.error(
+                "event=merged_parts_refused request=%s shards=%s",
                 self._request_id,
-                ",".join(hedged),
-                delay_ms,
-                now_ms - self._received_ms,
+                ",".join(stamps),
             )
-        if not self._is_answered:
-            self._call_later(max(_MIN_TICK_MS, _TICK_SHARE * delay_ms), self._on_tick)
+        self._answer_if_due()
 
-    def _on_attempt_done(
-        self,
-        shard: _Shard,
-        attempt: Attempt,
-        outcome: Outcome,
-        response: UpstreamResponse | None,
-    ) -> None:
-        shard.open.remove(attempt)
-        if outcome is Outcome.NOT_RUN:
-            shard.rejected += 1
-        else:
-            shard.may_have_run += 1
-        if self._is_answered or shard.is_in:
-            return
-        if response is not None and outcome is Outcome.ANSWERED:
-            shard.is_in = self._take_part(shard, response)
-        retries = not shard.is_in and not self._objective_passed
-        if retries and self._may_send_again(shard):
-            self._send(shard)
-        if not self._is_starting:
+    def _on_helper_failed(self, delegation: Delegation) -> None:
+        """Ask the shards of a lost instance directly."""
+        if self._is_answered or self._objective_passed:
             self._answer_if_due()
-
-    def _take_part(self, shard: _Shard, response: UpstreamResponse) -> bool:
-        stamp = response.header(self._context.dialect.stamp)
-        if stamp is None or response.status != HTTPStatus.OK:
-            logger.warning(
-                "event=part_refused request=%s service=%s status=%d signed=%s",
-                self._request_id,
-                shard.service,
-                response.status,
-                stamp is not None,
-            )
-            return False
-        return self._gather.add(shard.service, Part(stamp, response.body))
+            return
+        missing = tuple(
+            shard for shard in delegation.shards if not self._gather.has(shard)
+        )
+        logger.warning(
+            "event=helper_failed request=%s shards=%d accepted=%s",
+            self._request_id,
+            len(missing),
+            delegation.is_accepted,
+        )
+        self._fallback.start(missing)
+        self._answer_if_due()
 
     # Answers
 
     def _answer_if_due(self) -> None:
-        if self._is_answered:
+        if self._is_answered or self._is_starting:
             return
         pending = self._pending
         if self._gather.should_answer(
@@ -240,6 +209,7 @@
 
     def _on_objective(self) -> None:
         self._objective_passed = True
+        self._fan_out.retries = self._fallback.retries = False
         self._answer_if_due()
 
     def _on_deadline(self) -> None:
@@ -258,8 +228,7 @@
     def _fail(self, cause: str) -> None:
         """Answer a failure, as not run if no upstream can have run any part of it."""
         self._end()
-        sent = any(shard.may_have_run or shard.open for shard in self._shards)
-        if not sent:
+        if not self._may_have_run():
             response = rejection(retry_after_ms=self._retry_after_ms(cause))
         elif cause == "timeout":
             response = HttpResponse(HTTPStatus.GATEWAY_TIMEOUT, [])
@@ -267,6 +236,11 @@
             response = HttpResponse(HTTPStatus.BAD_GATEWAY, [])
         self._answer(response, cause)
 
+    def _may_have_run(self) -> bool:
+        if self._delegations:
+            return True
+        return self._fan_out.may_have_run or self._fallback.may_have_run
+
     def _retry_after_ms(self, cause: str) -> float:
         if cause == "too_few_upstreams":
             return self._context.settings.no_upstream_retry_ms
@@ -274,10 +248,11 @@
 
     def _answer(self, response: HttpResponse, cause: str) -> None:
         self._responder.respond(response)
-        missing = [shard.service for shard in self._shards if not shard.is_in]
+        missing = [name for name in self._route.shards if not self._gather.has(name)]
         logger.info(
             "event=request_ended request=%s route=%s outcome=%s status=%d "
-            "duration_ms=%.1f coverage=%.3f missing=%s hedges=%d version=%d",
+            "duration_ms=%.1f coverage=%.3f missing=%s delegated=%d hedges=%d "
+            "version=%d",
             self._request_id,
             self._route.name,
             cause,
@@ -285,7 +260,8 @@
             self._context.clock.monotonic_ms() - self._received_ms,
             self._gather.coverage,
             ",".join(missing),
-            self._hedges,
+            sum(len(delegation.shards) for delegation in self._delegations),
+            self._fan_out.hedges + self._fallback.hedges,
             self._version,
         )
 
@@ -294,9 +270,8 @@
         self._is_answered = True
         for timer in self._timers:
             timer.cancel()
-        for shard in self._shards:
-            for attempt in tuple(shard.open):
-                attempt.withdraw()
+        self._fan_out.end()
+        self._fallback.end()
 
     def _on_abandoned(self) -> None:
         logger.info(
@@ -305,10 +280,11 @@
             self._route.name,
         )
         self._end()
+        for delegation in self._delegations:
+            delegation.cancel()
         delay_s = self._context.settings.abandon_after_ms / 1000
         self._loop.call_later(delay_s, self._abandon_attempts)
 
     def _abandon_attempts(self) -> None:
-        for shard in self._shards:
-            for attempt in tuple(shard.open):
-                attempt.abandon()
+        self._fan_out.abandon()
+        self._fallback.abandon()
--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -14,6 +14,7 @@
 )
 
 from cuminbendd.entry._attempts import Attempt
+from cuminbendd.entry._delegation import Peers
 from cuminbendd.entry._dialect import Dialect
 from cuminbendd.entry._settings import EntrySettings
 from cuminbendd.entry._upstreams import UpstreamDirectory
@@ -72,7 +73,9 @@
         dialect: Dialect,
         upstreams: UpstreamDirectory,
         retries: RetryBudgets,
+        peers: Peers | None = None,
     ) -> None:
+        self.peers = peers
         self.settings = settings
         self.dialect = dialect
         self.upstreams = upstreams
@@ -97,6 +100,11 @@
         self._states = states
         self.table = table
 
+    def hedging_of(self, route: str) -> HedgeDelay | None:
+        """Return the hedge delay of a route, if the configuration names it."""
+        state = self._states.get(route)
+        return state.hedging if state else None
+
     def state_of(self, route: Route) -> RouteState:
         """Return what is known about a route of the configuration in force."""
         return self._states[route.name]
@@ -106,11 +114,25 @@
     """The part of a forwarded request that is the same for every attempt."""
 
     def __init__(
-        self, request: HttpRequest, *, dialect: Dialect, deadline_ms: float
+        self,
+        *,
+        head: bytes,
+        body: bytes,
+        request_id: bytes,
+        dialect: Dialect,
+        deadline_ms: float,
     ) -> None:
         self._dialect = dialect
         self.deadline_ms = deadline_ms
-        self.request_id = request.header(dialect.request_id) or b""
+        self.request_id = request_id
+        self.head = head
+        self.body = body
+
+    @classmethod
+    def of(
+        cls, request: HttpRequest, *, dialect: Dialect, deadline_ms: float
+    ) -> "PreparedRequest":
+        """Return the request of a caller, prepared."""
         dropped = (dialect.deadline, dialect.expected_upstream)
         head = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
         head += [
@@ -119,8 +141,13 @@
         ]
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             head.append(b"content-length: %d\r\n" % len(request.body))
-        self._head = b"".join(head)
-        self._body = request.body
+        return cls(
+            head=b"".join(head),
+            body=request.body,
+            request_id=request.header(dialect.request_id) or b"",
+            dialect=dialect,
+            deadline_ms=deadline_ms,
+        )
 
     def encode(self, attempt: Attempt, now_ms: float) -> bytes | None:
         """Return the bytes for one upstream, or None if no time is left."""
@@ -128,12 +155,12 @@
         if left_ms < 1:
             return None
         return b"%s%s: %s\r\n%s: %d\r\n\r\n%s" % (
-            self._head,
+            self.head,
             self._dialect.expected_upstream,
             attempt.replica.upstream.encode(),
             self._dialect.deadline,
             left_ms,
-            self._body,
+            self.body,
         )
 
 
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/_helper.py
@@ -0,0 +1,186 @@
+"""Asks shards on behalf of other entry instances."""
+
+import asyncio
+import logging
+
+from cuminbend.forwarding import HedgeDelay, Part, merge_greatest
+
+from cuminbendd.channel import parse_address
+from cuminbendd.entry._forwarding import ForwardingContext, PreparedRequest
+from cuminbendd.entry._peers import (
+    Accepted,
+    Cancel,
+    Delegate,
+    Merged,
+    PeerConnection,
+    PeerMessage,
+)
+from cuminbendd.entry._shards import ShardFanOut
+
+logger = logging.getLogger(__name__)
+
+
+class Helper:
+    """Takes tasks of other entry instances.
+
+    A task starts one turn of the event loop after it was read. An instance that stood
+    still reads old tasks together with their cancellation, or with the end of their
+    connection, and must not start them then.
+    """
+
+    def __init__(self, context: ForwardingContext) -> None:
+        self._context = context
+        self._tasks: dict[PeerConnection, dict[int, _Task]] = {}
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen for other entry instances.
+
+        Raises:
+            OSError: If the address is in use.
+        """
+        host, port = parse_address(address)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: PeerConnection(self), host, port
+        )
+
+    @property
+    def port(self) -> int:
+        """Port that the helper listens on."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    @property
+    def busy(self) -> int:
+        """Tasks that are not finished."""
+        return sum(len(tasks) for tasks in self._tasks.values())
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self._tasks):
+            connection.close()
+
+    def on_message(self, connection: PeerConnection, message: PeerMessage) -> None:
+        """Take a task or a cancellation."""
+        tasks = self._tasks.setdefault(connection, {})
+        if isinstance(message, Delegate):
+            task = _Task(self._context, connection, message, tasks)
+            tasks[message.task_id] = task
+            asyncio.get_running_loop().call_soon(task.start)
+        elif isinstance(message, Cancel):
+            cancelled = tasks.pop(message.task_id, None)
+            if cancelled is not None:
+                cancelled.cancel()
+
+    def on_closed(self, connection: PeerConnection) -> None:
+        """End the tasks of an instance that is gone."""
+        for task in self._tasks.pop(connection, {}).values():
+            task.cancel()
+
+
+class _Task:
+    """One group of shards."""
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        connection: PeerConnection,
+        delegate: Delegate,
+        tasks: "dict[int, _Task]",
+    ) -> None:
+        self._context = context
+        self._connection = connection
+        self._delegate = delegate
+        self._tasks = tasks
+        self._new: dict[str, Part] = {}
+        self._reported = 0
+        self._is_ended = False
+        self._answers_each = False
+        self._timers: list[asyncio.TimerHandle] = []
+        now_ms = context.clock.monotonic_ms()
+        prepared = PreparedRequest(
+            head=delegate.head,
+            body=delegate.body,
+            request_id=delegate.request_id,
+            dialect=context.dialect,
+            deadline_ms=now_ms + delegate.deadline_in_ms,
+        )
+        self._fan_out = ShardFanOut(
+            context=context,
+            prepared=prepared,
+            hedging=context.hedging_of(delegate.route)
+            or HedgeDelay(objective_ms=max(1.0, delegate.answer_in_ms)),
+            max_attempts=delegate.max_attempts,
+            on_part=self._on_part,
+            on_progress=self._report_if_due,
+        )
+
+    def start(self) -> None:
+        """Ask the shards."""
+        if self._is_ended:
+            return
+        delegate = self._delegate
+        self._connection.send(Accepted(delegate.task_id))
+        loop = asyncio.get_running_loop()
+        for delay_ms, action in (
+            (delegate.answer_in_ms, self._on_answer_due),
+            (delegate.deadline_in_ms, self._finish),
+        ):
+            self._timers.append(loop.call_later(max(0.0, delay_ms) / 1000, action))
+        self._fan_out.start(delegate.shards)
+        self._report_if_due()
+
+    def cancel(self) -> None:
+        """End the task without an answer."""
+        self._end()
+        loop = asyncio.get_running_loop()
+        delay_s = self._context.settings.abandon_after_ms / 1000
+        loop.call_later(delay_s, self._fan_out.abandon)
+
+    def _end(self) -> None:
+        self._is_ended = True
+        self._fan_out.end()
+        for timer in self._timers:
+            timer.cancel()
+        self._tasks.pop(self._delegate.task_id, None)
+
+    def _on_part(self, shard: str, part: Part) -> bool:
+        self._new[shard] = part
+        return True
+
+    def _report_if_due(self) -> None:
+        if self._is_ended:
+            return
+        if not self._fan_out.pending:
+            self._finish()
+        elif self._answers_each and self._new:
+            self._report(is_final=False)
+
+    def _on_answer_due(self) -> None:
+        """Send what is in; what comes later is sent as it comes."""
+        self._answers_each = True
+        self._fan_out.retries = False
+        self._report(is_final=False)
+
+    def _finish(self) -> None:
+        if not self._is_ended:
+            self._report(is_final=True)
+            self._end()
+
+    def _report(self, *, is_final: bool) -> None:
+        delegate = self._delegate
+        new, self._new = self._new, {}
+        positions = {shard: index for index, shard in enumerate(delegate.shards)}
+        self._connection.send(
+            Merged(
+                task_id=delegate.task_id,
+                stamps={positions[shard]: part.stamp for shard, part in new.items()},
+                records=merge_greatest(
+                    [part.body for part in new.values()], delegate.top_k
+                ),
+                is_final=is_final,
+            )
+        )
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -13,9 +13,11 @@
 from cuminbend.ports import Clock
 
 from cuminbendd.channel import parse_address
+from cuminbendd.entry._delegation import Peers
 from cuminbendd.entry._dialect import Dialect
 from cuminbendd.entry._fanout import FanOutRequest
 from cuminbendd.entry._forwarding import ForwardingContext, rejection
+from cuminbendd.entry._helper import Helper
 from cuminbendd.entry._settings import EntrySettings
 from cuminbendd.entry._single import SingleRequest
 from cuminbendd.entry._upstreams import UpstreamDirectory
@@ -61,12 +63,15 @@
             settings=settings, clock=clock, dialect=dialect
         )
         self._retries = RetryBudgets(settings=settings.retries)
+        self._peers = Peers(own=settings.instance, clock=clock)
         self._context = ForwardingContext(
             settings=settings,
             dialect=dialect,
             upstreams=self._upstreams,
             retries=self._retries,
+            peers=self._peers if settings.helper_address else None,
         )
+        self._helper = Helper(self._context)
         self._controls: dict[str, ControlInfo] = {}
         self._feed = FeedClient(
             sink=self, clock=clock, candidates=self._control_candidates
@@ -104,6 +109,8 @@
         """
         host, port = parse_address(self.settings.caller_address)
         await self.server.start(host, port)
+        if self.settings.helper_address:
+            await self._helper.start(self.settings.helper_address)
         self._tasks = [
             asyncio.ensure_future(self._feed.run()),
             asyncio.ensure_future(self._sweep()),
@@ -128,7 +135,7 @@
         start_ms = self._clock.monotonic_ms()
         await asyncio.sleep(settings.drain_ms / 1000)
         self.server.close_idle()
-        while self.server.busy:
+        while self.server.busy or self._helper.busy:
             if self._clock.monotonic_ms() - start_ms > settings.stop_ms:
                 break
             await asyncio.sleep(0.02)
@@ -144,6 +151,8 @@
         for task in self._tasks:
             task.cancel()
         self.server.close()
+        self._helper.close()
+        self._peers.close()
         self._upstreams.close()
 
     async def _sweep(self) -> None:
@@ -154,6 +163,7 @@
             self._lag_ms += _LAG_WEIGHT * (late_ms - self._lag_ms)
             self._upstreams.expire_silent()
             self._upstreams.drop_unconfirmed()
+            self._peers.reconnect()
 
     # Requests
 
@@ -223,6 +233,7 @@
                 instance=settings.instance,
                 address=settings.caller_address,
                 data_centre=settings.data_centre,
+                helper_address=settings.helper_address,
             ),
             control=None,
             version=self.version,
@@ -251,6 +262,7 @@
             self._upstreams.set_evacuated(evacuated)
         if update.entries is not None:
             self._entries = update.entries
+            self._peers.set_entries(update.entries)
             self._upstreams.set_entries(item.instance for item in update.entries)
             self._retries.resize(self._upstreams.instances)
         if update.registrations or update.is_full:
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/_peers.py
@@ -0,0 +1,131 @@
+"""Messages between entry instances, and the connections that carry them."""
+
+import asyncio
+import logging
+import struct
+from collections.abc import Callable
+from typing import Protocol, cast
+
+import msgspec
+
+logger = logging.getLogger(__name__)
+
+_LENGTH = struct.Struct("<I")
+
+
+class Delegate(msgspec.Struct, array_like=True, tag=1):
+    """Asks another instance to ask shards and to merge their parts.
+
+    Attributes:
+        task_id: Number of the task on this connection.
+        request_id: Identity of the caller's request.
+        head: Request line and headers as every shard gets them.
+        route: Name of the route, whose latencies the other instance knows as well.
+        answer_in_ms: Time after which to answer with what is in.
+        deadline_in_ms: Time after which nothing is of use any more.
+        top_k: Records to return.
+    """
+
+    task_id: int
+    request_id: bytes
+    head: bytes
+    body: bytes
+    shards: tuple[str, ...]
+    route: str
+    answer_in_ms: float
+    deadline_in_ms: float
+    max_attempts: int
+    top_k: int
+
+
+class Accepted(msgspec.Struct, array_like=True, tag=2):
+    """Says that a task has been read and started."""
+
+    task_id: int
+
+
+class Merged(msgspec.Struct, array_like=True, tag=3):
+    """Parts that are in since the last message about the task, merged.
+
+    Attributes:
+        stamps: Signature of each part, by the position of its shard in the task.
+        records: The greatest records of these parts.
+        is_final: Whether no more will come.
+    """
+
+    task_id: int
+    stamps: dict[int, bytes]
+    records: bytes
+    is_final: bool
+
+
+class Cancel(msgspec.Struct, array_like=True, tag=4):
+    """Ends a task."""
+
+    task_id: int
+
+
+PeerMessage = Delegate | Accepted | Merged | Cancel
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(PeerMessage)
+
+
+class PeerOwner(Protocol):
+    """Takes what comes over a connection."""
+
+    def on_message(self, connection: "PeerConnection", message: PeerMessage) -> None:
+        """Take a message."""
+
+    def on_closed(self, connection: "PeerConnection") -> None:
+        """Note that the connection is gone."""
+
+
+class PeerConnection(asyncio.Protocol):
+    """Frames of a length and a msgpack message."""
+
+    def __init__(self, owner: PeerOwner) -> None:
+        self._owner = owner
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self.is_open = False
+
+    def send(self, message: PeerMessage) -> None:
+        """Write a message; lost if the connection is gone."""
+        if self._transport is not None and self.is_open:
+            content = _encoder.encode(message)
+            self._transport.write(_LENGTH.pack(len(content)) + content)
+
+    def close(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Transports of uvloop do not derive from those of asyncio.
+        self._transport = cast(asyncio.Transport, transport)
+        self.is_open = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_open = False
+        self._owner.on_closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        while len(self._buffer) >= _LENGTH.size:
+            (size,) = _LENGTH.unpack_from(self._buffer)
+            end = _LENGTH.size + size
+            if len(self._buffer) < end:
+                return
+            content = bytes(self._buffer[_LENGTH.size : end])
+            del self._buffer[:end]
+            try:
+                message = _decoder.decode(content)
+            except msgspec.MsgspecError as error:
+                logger.error("event=peer_message_unreadable error='%s'", error)
+                self.close()
+                return
+            self._owner.on_message(self, message)
+
+
+MessageSender = Callable[[PeerMessage], None]
--- a/packages/cuminbendd/src/cuminbendd/entry/_settings.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_settings.py
@@ -13,6 +13,8 @@
         instance: Name of the instance.
         data_centre: Where it runs.
         caller_address: ``host:port`` that callers connect to.
+        helper_address: ``host:port`` at which it asks shards for other entry
+            instances; without one it neither helps nor is helped.
         control_addresses: Channel addresses of control instances to start from; some
             may be wrong or down.
         answer_margin_ms: Part of the objective kept besides the time that request
@@ -40,6 +42,7 @@
     data_centre: str
     caller_address: str
     control_addresses: tuple[str, ...]
+    helper_address: str = ""
     placement: PlacementSettings = field(default_factory=PlacementSettings)
     retries: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
     answer_margin_ms: float = 2.5
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -41,7 +41,7 @@
         self._responder = responder
         self._received_ms = request.received_ms
         self._state = context.state_of(route)
-        self._prepared = PreparedRequest(
+        self._prepared = PreparedRequest.of(
             request,
             dialect=context.dialect,
             deadline_ms=deadline_of(request, dialect=context.dialect, route=route),
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -255,13 +255,13 @@
 
     # Choice
 
-    def has_any(self, service: str) -> bool:
-        """Return whether an upstream of the service takes work now."""
+    def places(self, service: str) -> frozenset[str]:
+        """Return the data centres in which an upstream of the service takes work."""
         group = self._groups.get(service)
         if group is None:
-            return False
+            return frozenset()
         now_ms = self.clock.monotonic_ms()
-        return group.has_any(now_ms=now_ms, evacuated=self.evacuated)
+        return group.places(now_ms=now_ms, evacuated=self.evacuated)
 
     def served(self) -> dict[str, int]:
         """Return the number of services with a ready upstream, by data centre."""
--- a/packages/cuminbendd/src/cuminbendd/feed/_messages.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_messages.py
@@ -25,12 +25,14 @@
 
     Attributes:
         address: ``host:port`` for callers.
+        helper_address: ``host:port`` at which it asks shards for other instances.
         is_busy: Whether it has little processor time left.
     """
 
     instance: str
     address: str
     data_centre: str
+    helper_address: str = ""
     is_busy: bool = False
 
 
