--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := packages/cuminbend packages/cuminbendd packages/cuminbendctl
+PACKAGES := packages/cuminbend packages/cuminbendd packages/cuminbendctl platform
 STAMP := $(VENV)/installed
-SOURCES := packages fakes benchmarks examples conftest.py
+SOURCES := packages platform fakes benchmarks examples conftest.py
 
 .PHONY: install test check demo bench format lint types imports proto
 
@@ -27,6 +27,7 @@
 
 types: install
 	$(BIN)/mypy packages/cuminbend/src packages/cuminbendd/src packages/cuminbendctl/src
+	$(BIN)/mypy -p cuminbend_platform
 
 imports: install
 	$(BIN)/lint-imports
