Explain a request and plot logs from log files

Cause: a failed request could only be understood by reading log files by hand.

Change: cuminbendctl explain prints the story of a request across instances; cuminbendctl report LOG... writes a page with plots.

--- a/packages/cuminbendctl/src/cuminbendctl/_client.py
+++ b/packages/cuminbendctl/src/cuminbendctl/_client.py
@@ -1,5 +1,6 @@
 """HTTP client of the operator command."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -42,7 +43,7 @@
     submits carry an id that makes that safe, all else only reads.
     """
 
-    def __init__(self, *, addresses: list[str]) -> None:
+    def __init__(self, *, addresses: Sequence[str]) -> None:
         self._addresses = addresses
 
     def request(
--- /dev/null
+++ b/packages/cuminbendctl/src/cuminbendctl/_log_report.py
@@ -0,0 +1,127 @@
+"""An HTML page with plots of log lines over time."""
+
+import html
+import io
+from collections import Counter, defaultdict
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from cuminbend.exceptions import ConfigurationError
+
+from cuminbendctl._logs import LogLine
+
+_PAGE = """<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>cuminbend report</title>
+<style>body{{font-family:sans-serif;max-width:60em;margin:auto}}
+td,th{{padding:.2em 1em;text-align:left}}</style></head>
+<body><h1>cuminbend report</h1>
+<p>{count} events of {instances} instances from {first} to {last}</p>
+{plots}
+<h2>Outcomes</h2>
+<table><tr><th>outcome</th><th>status</th><th>requests</th></tr>{rows}</table>
+</body></html>
+"""
+
+
+def write_report(lines: Sequence[LogLine], folder: Path) -> Path:
+    """Write ``report.html`` to a folder and return its path.
+
+    Raises:
+        ConfigurationError: If the plotting library is not installed.
+    """
+    try:
+        import matplotlib as mpl
+        from matplotlib.figure import Figure
+    except ImportError as error:
+        raise ConfigurationError(
+            ["plots need matplotlib; install 'cuminbendctl[report]'"]
+        ) from error
+    mpl.rcParams["svg.hashsalt"] = "cuminbend"
+    ended = [line for line in lines if line.event == "request_ended"]
+    start = lines[0].at
+    plots = []
+    for title, unit, series in (
+        ("Latency by route", "ms", _series(ended, start, "route", "duration_ms")),
+        ("Coverage by route", "share", _series(ended, start, "route", "coverage")),
+        ("Not answered, per second", "requests", _rejections(ended, start)),
+        ("Configuration in force", "version", _versions(lines, start)),
+    ):
+        figure = Figure(figsize=(9, 3))
+        _draw(figure.subplots(), title, unit, series)
+        image = io.StringIO()
+        figure.savefig(image, format="svg", bbox_inches="tight", metadata={"Date": ""})
+        plots.append(
+            image.getvalue().partition("<svg")[1]
+            + image.getvalue().partition("<svg")[2]
+        )
+    page = _PAGE.format(
+        count=len(lines),
+        instances=len({line.instance for line in lines}),
+        first=lines[0].at.isoformat(),
+        last=lines[-1].at.isoformat(),
+        plots="\n".join(plots),
+        rows=_rows(ended),
+    )
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / "report.html"
+    path.write_text(page)
+    return path
+
+
+Series = dict[str, list[tuple[float, float]]]
+
+
+def _draw(axes: Any, title: str, unit: str, series: Series) -> None:
+    axes.set_title(title)
+    axes.set_xlabel("s")
+    axes.set_ylabel(unit)
+    for name in sorted(series):
+        points = series[name]
+        axes.plot(*zip(*points, strict=True), ".", markersize=3, label=name)
+    if series:
+        axes.legend(fontsize="x-small", loc="upper right")
+
+
+def _series(ended: Sequence[LogLine], start: Any, label: str, field: str) -> Series:
+    series: Series = defaultdict(list)
+    for line in ended:
+        value = line.number(field)
+        if value is not None:
+            name = line.fields.get(label, "none")
+            series[name].append(((line.at - start).total_seconds(), value))
+    return series
+
+
+def _rejections(ended: Sequence[LogLine], start: Any) -> Series:
+    counts: dict[str, Counter[int]] = defaultdict(Counter)
+    for line in ended:
+        outcome = line.fields.get("outcome", "")
+        if outcome != "answered":
+            counts[outcome][int((line.at - start).total_seconds())] += 1
+    return {
+        outcome: [(float(second), float(n)) for second, n in sorted(counter.items())]
+        for outcome, counter in counts.items()
+    }
+
+
+def _versions(lines: Sequence[LogLine], start: Any) -> Series:
+    series: Series = defaultdict(list)
+    for line in lines:
+        version = line.number("version")
+        if line.event == "configuration_in_force" and version is not None:
+            at_s = (line.at - start).total_seconds()
+            series[line.instance].append((at_s, version))
+    return series
+
+
+def _rows(ended: Sequence[LogLine]) -> str:
+    counts = Counter(
+        (line.fields.get("outcome", ""), line.fields.get("status", ""))
+        for line in ended
+    )
+    return "".join(
+        f"<tr><td>{html.escape(outcome)}</td><td>{html.escape(status)}</td>"
+        f"<td>{count}</td></tr>"
+        for (outcome, status), count in counts.most_common()
+    )
--- a/packages/cuminbendctl/src/cuminbendctl/_main.py
+++ b/packages/cuminbendctl/src/cuminbendctl/_main.py
@@ -3,6 +3,7 @@
 import getpass
 import sys
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -13,6 +14,9 @@
 from cuminbend.exceptions import ConfigurationError, CuminbendError
 
 from cuminbendctl._client import InstanceClient, RefusedError, UnreachableError
+from cuminbendctl._explain import explain as explain_request
+from cuminbendctl._log_report import write_report
+from cuminbendctl._logs import read_logs
 from cuminbendctl._render import render, report_rows
 
 EXIT_REFUSED = 1
@@ -35,7 +39,7 @@
 )
 
 Address = Annotated[
-    list[str],
+    Sequence[str],
     cyclopts.Parameter(
         name="--address",
         help="Caller address of an instance, as ip:port; repeat to name several.",
@@ -148,8 +152,56 @@
 
 
 @app.command
-def report(*, address: Address, json: Json = False) -> int:
-    """Show counts and latencies per member, as one instance saw them."""
+def explain(request_id: str, *logs: Path) -> int:
+    """Print the story of one request from log files, in time order.
+
+    Args:
+        request_id: Identity of the request, as its caller knows it.
+        logs: Log files of any number of instances.
+    """
+    lines, problems = read_logs(_some(logs))
+    _warn(problems)
+    story = explain_request(lines, request_id)
+    if not story:
+        print(
+            f"cuminbendctl: no line names the request {request_id!r}; name the log "
+            "files of all entry instances",
+            file=sys.stderr,
+        )
+        return EXIT_REFUSED
+    print("\n".join(story))
+    return 0
+
+
+def _some(logs: tuple[Path, ...]) -> tuple[Path, ...]:
+    if not logs:
+        raise ConfigurationError(["name one log file or more"])
+    return logs
+
+
+def _warn(problems: list[str]) -> None:
+    for problem in problems:
+        print(f"cuminbendctl: {problem}", file=sys.stderr)
+
+
+@app.command
+def report(
+    *logs: Path, out: Path | None = None, address: Address = (), json: Json = False
+) -> int:
+    """Show counts and latencies, of one instance or of log files.
+
+    Args:
+        logs: Log files to plot over time; without any, the counts per member of the
+            instance at ``--address``.
+        out: Folder for the page with the plots.
+    """
+    if logs or out is not None:
+        lines, problems = read_logs(_some(logs))
+        _warn(problems)
+        print(write_report(lines, out or Path()))
+        return 0
+    if not address:
+        raise ConfigurationError(["name log files, or an instance with --address"])
     client = InstanceClient(addresses=address[:1])
     document = client.request("GET", "/v1/report").document
     _print(document if json else {"accounts": report_rows(document)}, json)
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -248,7 +248,13 @@
 
     def _answer(self, response: HttpResponse, cause: str) -> None:
         self._responder.respond(response)
-        missing = [name for name in self._route.shards if not self._gather.has(name)]
+        missing = [*self._fan_out.missing(), *self._fallback.missing()]
+        missing += [
+            f"{shard}@helper"
+            for delegation in self._delegations
+            for shard in delegation.shards
+            if delegation.is_open and not self._gather.has(shard)
+        ]
         logger.info(
             "event=request_ended request=%s route=%s outcome=%s status=%d "
             "duration_ms=%.1f coverage=%.3f missing=%s delegated=%d hedges=%d "
--- a/packages/cuminbendd/src/cuminbendd/entry/_helper.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_helper.py
@@ -142,6 +142,16 @@
 
     def _end(self) -> None:
         self._is_ended = True
+        missing = self._fan_out.missing()
+        if missing:
+            logger.info(
+                "event=task_ended request=%s route=%s shards=%d missing=%s hedges=%d",
+                self._delegate.request_id.decode("latin-1"),
+                self._delegate.route,
+                len(self._delegate.shards),
+                ",".join(missing),
+                self._fan_out.hedges,
+            )
         self._fan_out.end()
         for timer in self._timers:
             timer.cancel()
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -172,6 +172,10 @@
         context = self._context
         table = context.table
         if table is None:
+            logger.info(
+                "event=request_ended request=%s outcome=no_configuration status=503",
+                (request.header(context.dialect.request_id) or b"").decode("latin-1"),
+            )
             responder.respond(rejection(retry_after_ms=_NO_CONFIGURATION_RETRY_MS))
             return
         host = (request.header(b"host") or b"").decode("latin-1")
--- a/packages/cuminbendd/src/cuminbendd/entry/_shards.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_shards.py
@@ -93,8 +93,12 @@
         return any(shard.may_have_run or shard.open for shard in self._shards)
 
     def missing(self) -> list[str]:
-        """Return the shards that are not in."""
-        return [shard.service for shard in self._shards if not shard.is_in]
+        """Return the shards that are not in, each with the upstreams it was sent to."""
+        return [
+            f"{shard.service}@{'+'.join(shard.tried) or 'none'}"
+            for shard in self._shards
+            if not shard.is_in
+        ]
 
     def end(self) -> None:
         """Send nothing more; attempts under way run on and keep their connections."""
