Keep connections on as many entry instances as upstreams have room for

Cause: on the grown sites 81 entry instances share 62 connections of each upstream. Each saw one query in three seconds, so its connections were closed before their next use, upstreams reset what was over their cap, and no instance learnt hedge delays.

Ruled out: one connection each (no room for a second request or a hedge).

Groups of at most 20 shards are asked by one instance. A task that ends by an error is logged.

--- a/packages/cuminbend/src/cuminbend/directory/_naming.py
+++ b/packages/cuminbend/src/cuminbend/directory/_naming.py
@@ -26,11 +26,13 @@
     Attributes:
         address: ``host:port`` for callers.
         is_busy: Whether it has little processor time left.
+        is_active: Whether it holds connections to upstreams.
     """
 
     address: str
     data_centre: str
     is_busy: bool = False
+    is_active: bool = True
 
 
 def name_entries(
@@ -51,6 +53,10 @@
     Returns:
         The instances near the upstreams; all of them if those are too few or busy.
     """
+    active = [entry for entry in entries if entry.is_active]
+    # Right after a loss too few instances may know that they are active.
+    if len(active) >= _MIN_NAMED and 2 * sum(e.is_busy for e in active) <= len(active):
+        entries = active
     best = max(served.values(), default=0)
     near = [
         entry
--- a/packages/cuminbend/src/cuminbend/forwarding/_delegation.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_delegation.py
@@ -7,7 +7,7 @@
 _MIN_GROUP = 3
 # Requests to shards that one instance sends itself. Sending and receiving one takes
 # about a quarter of a millisecond of a core, so more of them take too long in a row.
-_MAX_DIRECT = 40
+_MAX_DIRECT = 20
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cuminbend/src/cuminbend/forwarding/tests/test_delegation.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/tests/test_delegation.py
@@ -56,7 +56,7 @@
     places = dict.fromkeys(shards, frozenset("a"))
     plan = plan_fan_out(shards, own="a", places=places, helpers={"a": 30})
     sizes = [len(plan.direct), *(len(group) for _, group in plan.delegated)]
-    assert max(sizes) <= 40
+    assert max(sizes) <= 20
     assert sum(sizes) == count
     delegated = [shard for _, group in plan.delegated for shard in group]
     assert len({*plan.direct, *delegated}) == count
--- a/packages/cuminbendd/src/cuminbendd/control/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_instance.py
@@ -185,7 +185,9 @@
                     candidates=lambda address=address: [address],  # type: ignore[misc]
                     needs_current=False,
                 )
-                self._peer_feeds[address] = asyncio.ensure_future(client.run())
+                task = asyncio.ensure_future(client.run())
+                task.add_done_callback(_log_failure)
+                self._peer_feeds[address] = task
 
     def hello(self) -> Hello:
         """Return what to tell another control instance first."""
@@ -200,7 +202,10 @@
     def status(self) -> Status:
         """Return the heartbeat to send."""
         return Status(
-            is_available=True, is_busy=False, version=self._state.stored.version
+            is_available=True,
+            is_busy=False,
+            is_active=False,
+            version=self._state.stored.version,
         )
 
     def on_update(self, source: str, update: Update) -> None:
@@ -390,7 +395,7 @@
     def directory(self) -> tuple[list[EntryPlace], dict[str, int]]:
         """Return the entry instances, and the services that each data centre has."""
         places = [
-            EntryPlace(entry.address, entry.data_centre, entry.is_busy)
+            EntryPlace(entry.address, entry.data_centre, entry.is_busy, entry.is_active)
             for entry in self.entries()
         ]
         return places, self._registrations.served(self._state.evacuated)
@@ -410,3 +415,9 @@
             },
             default=str,
         ).encode()
+
+
+def _log_failure(task: asyncio.Task[None]) -> None:
+    """Log the error that ended a task, which nobody waits for."""
+    if not task.cancelled() and task.exception() is not None:
+        logger.error("event=task_failed error='%r'", task.exception())
--- a/packages/cuminbendd/src/cuminbendd/entry/_delegation.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_delegation.py
@@ -222,7 +222,7 @@
         wanted = {
             entry.instance: entry
             for entry in entries
-            if entry.helper_address and entry.instance != self._own
+            if entry.helper_address and entry.is_active and entry.instance != self._own
         }
         for name in set(self._peers) - set(wanted):
             self._peers.pop(name).close()
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -115,6 +115,8 @@
             asyncio.ensure_future(self._feed.run()),
             asyncio.ensure_future(self._sweep()),
         ]
+        for task in self._tasks:
+            task.add_done_callback(_log_failure)
         logger.info(
             "event=started instance=%s role=entry address=%s",
             self.settings.instance,
@@ -197,7 +199,7 @@
     def directory(self) -> tuple[list[EntryPlace], dict[str, int]]:
         """Return the entry instances, and the services that each data centre has."""
         places = [
-            EntryPlace(entry.address, entry.data_centre, entry.is_busy)
+            EntryPlace(entry.address, entry.data_centre, entry.is_busy, entry.is_active)
             for entry in self._entries
             if entry.instance != self.settings.instance or self.is_ready
         ]
@@ -248,6 +250,7 @@
         return Status(
             is_available=self.is_ready,
             is_busy=self._lag_ms > _BUSY_LAG_MS,
+            is_active=self._upstreams.is_active,
             version=self.version,
         )
 
@@ -267,14 +270,28 @@
         if update.entries is not None:
             self._entries = update.entries
             self._peers.set_entries(update.entries)
-            self._upstreams.set_entries(item.instance for item in update.entries)
-            self._retries.resize(self._upstreams.instances)
+            self._share_limits()
         if update.registrations or update.is_full:
             self._upstreams.merge(update.registrations, is_full=update.is_full)
 
     def on_lost(self, source: str) -> None:
         """Keep what is known until another control instance is found."""
 
+    def _share_limits(self) -> None:
+        """Divide what upstreams take among the entry instances in the directory."""
+        was_active = self._upstreams.is_active
+        self._upstreams.set_entries(
+            {entry.instance: entry.data_centre for entry in self._entries}
+        )
+        self._retries.resize(self._upstreams.instances)
+        if self._upstreams.is_active != was_active:
+            logger.info(
+                "event=entry_%s entries=%d",
+                "active" if self._upstreams.is_active else "standing_by",
+                len(self._entries),
+            )
+            self._feed.notify()
+
     def _set_configuration(self, content: bytes) -> None:
         try:
             table = self._decode(content)
@@ -291,4 +308,11 @@
         )
         self._context.set_table(table)
         self._upstreams.set_table(table)
+        self._share_limits()
         self._feed.notify()
+
+
+def _log_failure(task: asyncio.Task[None]) -> None:
+    """Log the error that ended a task, which nobody waits for."""
+    if not task.cancelled() and task.exception() is not None:
+        logger.error("event=task_failed error='%r'", task.exception())
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -4,9 +4,10 @@
 import hashlib
 import logging
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from cuminbend.budgets import TokenBudget
+from cuminbend.directory import active_count, active_entries
 from cuminbend.forwarding import (
     Replica,
     ReplicaGroup,
@@ -26,6 +27,8 @@
 
 # More connections than an upstream has slots and queue places are never of use.
 _MAX_POOL = 16
+# One in so many connections is left to instances that stand by.
+_STANDBY_SHARE = 10
 # First connections are opened one after the other, so that they do not all take a
 # slot of the searchers at the same moment.
 _WARM_UP_STEP_S = 0.004
@@ -53,7 +56,8 @@
         self._registrations: dict[str, Registration] = {}
         self._unconfirmed_ms: dict[str, float] = {}
         self._policies: dict[str, ServicePolicy] = {}
-        self._entries: tuple[str, ...] = (settings.instance,)
+        self._entries: dict[str, str] = {settings.instance: settings.data_centre}
+        self._active = frozenset({settings.instance})
         self._cold_budgets: dict[str, _RateLimit] = {}
         self._warm_up_count = 0
 
@@ -66,12 +70,22 @@
         for pool in self._pools.values():
             self._warm_up(pool)
 
-    def set_entries(self, entries: Iterable[str]) -> None:
-        """Take the names of the entry instances that share the limits."""
-        entries = tuple(sorted({*entries, self._settings.instance}))
-        if entries != self._entries:
-            self._entries = entries
-            self._resize_pools()
+    def set_entries(self, data_centres: Mapping[str, str]) -> None:
+        """Take the entry instances that share the limits, with their data centres."""
+        own = {self._settings.instance: self._settings.data_centre}
+        self._entries = {**data_centres, **own}
+        was_active = self.is_active
+        limits = (policy.max_connections for policy in self._policies.values())
+        self._active = active_entries(self._entries, active_count(limits))
+        self._resize_pools()
+        if self.is_active and not was_active:
+            for pool in self._pools.values():
+                self._warm_up(pool)
+
+    @property
+    def is_active(self) -> bool:
+        """Whether this instance holds connections to upstreams."""
+        return self._settings.instance in self._active
 
     def set_evacuated(self, evacuated: frozenset[str]) -> None:
         """Take the data centres that get no work.
@@ -232,7 +246,11 @@
         policy = self._policies.get(service)
         if policy is None:
             return 1
-        share = policy.max_connections // max(1, len(self._entries))
+        if not self.is_active:
+            return 1
+        standby = len(self._entries) - len(self._active)
+        kept_free = min(standby, policy.max_connections // _STANDBY_SHARE)
+        share = (policy.max_connections - kept_free) // max(1, len(self._active))
         return max(1, min(share, _MAX_POOL))
 
     def _resize_pools(self) -> None:
@@ -240,7 +258,7 @@
             pool.limit = self._limit(pool.replica.service)
 
     def _warm_up(self, pool: ConnectionPool) -> None:
-        if pool.replica.service not in self._policies:
+        if pool.replica.service not in self._policies or not self.is_active:
             return
         self._warm_up_count += 1
         delay_s = (self._warm_up_count % 64) * _WARM_UP_STEP_S
@@ -340,17 +358,18 @@
         def weight(entry: str) -> bytes:
             return hashlib.blake2b(f"{entry}/{upstream}".encode()).digest()
 
-        return max(self._entries, key=weight) == self._settings.instance
+        return max(self._active, key=weight) == self._settings.instance
 
     @property
     def instances(self) -> int:
-        """Entry instances that share the limits."""
-        return len(self._entries)
+        """Entry instances that share the limits; those standing by hardly count."""
+        return len(self._active) if self.is_active else len(self._entries)
 
     def dump(self) -> dict[str, object]:
         """Return the state for operators."""
         return {
-            "entries": list(self._entries),
+            "entries": sorted(self._entries),
+            "active": sorted(self._active),
             "evacuated": sorted(self.evacuated),
             "upstreams": {
                 upstream: {
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
@@ -56,6 +56,7 @@
                 address="x:1",
                 data_centre=place,
                 helper_address=f"127.0.0.1:{port}",
+                is_active=True,
             )
             for name, place in (("e1", "a"), ("e2", "b"))
         )
--- a/packages/cuminbendd/src/cuminbendd/feed/_messages.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_messages.py
@@ -27,6 +27,7 @@
         address: ``host:port`` for callers.
         helper_address: ``host:port`` at which it asks shards for other instances.
         is_busy: Whether it has little processor time left.
+        is_active: Whether it holds connections to upstreams.
     """
 
     instance: str
@@ -34,6 +35,7 @@
     data_centre: str
     helper_address: str = ""
     is_busy: bool = False
+    is_active: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,11 +78,13 @@
     Attributes:
         is_available: Whether an entry instance takes new callers.
         is_busy: Whether it has little processor time left.
+        is_active: Whether it holds connections to upstreams.
         version: Version of the configuration that it has in force.
     """
 
     is_available: bool
     is_busy: bool
+    is_active: bool
     version: int
 
 
--- a/packages/cuminbendd/src/cuminbendd/feed/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_server.py
@@ -125,7 +125,11 @@
                 _, status = await stream.read()
             if hello.entry is not None and isinstance(status, Status):
                 self._source.set_entry(
-                    replace(hello.entry, is_busy=status.is_busy),
+                    replace(
+                        hello.entry,
+                        is_busy=status.is_busy,
+                        is_active=status.is_active,
+                    ),
                     is_available=status.is_available,
                     reader=stream,
                 )
