--- a/packages/cuminbend/src/cuminbend/forwarding/_retry_budgets.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_retry_budgets.py
@@ -57,6 +57,10 @@
         """Return the extra attempts that are left."""
         return self._of(service).tokens
 
+    def least(self) -> float:
+        """Return the extra attempts left for the service that has fewest."""
+        return min((budget.tokens for budget in self._budgets.values()), default=0.0)
+
     def _burst(self) -> float:
         settings = self._settings
         return max(1.0, settings.slack * settings.safety / max(1, self._instances))
--- a/packages/cuminbendd/src/cuminbendd/control/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_instance.py
@@ -34,6 +34,7 @@
     Status,
     Update,
 )
+from cuminbendd.metrics import Metrics
 
 logger = logging.getLogger(__name__)
 
@@ -81,6 +82,7 @@
         self._peer_feeds: dict[str, asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._was_current = False
+        self.metrics = Metrics(gauges=self._gauges)
 
     # Running
 
@@ -353,6 +355,7 @@
                 registration.cold_left_ms,
             )
             self._feed.notify()
+        self.metrics.count("heartbeat")
         # What was heard counts even if it is not acknowledged: after a restart of
         # the whole group, everything is known once a leader is.
         self._check_current()
@@ -381,6 +384,7 @@
 
     async def commit(self, command: Command) -> None:
         """Commit an operator's command; see :meth:`ControlGroup.commit`."""
+        self.metrics.count("command")
         await self._group.commit(command)
 
     async def newest(self) -> StoredConfiguration:
@@ -392,6 +396,23 @@
         await self._group.newest_version()
         return self._state.stored
 
+    def _gauges(self) -> dict[str, float]:
+        replica = self._group.replica
+        return {
+            "configuration_version": self._state.stored.version,
+            "configuration_bytes": len(self._state.stored.content),
+            "evacuated_data_centres": len(self._state.evacuated),
+            "group_current": float(self.is_current),
+            "group_leader": float(replica.is_leader),
+            "group_term": replica.term,
+            "group_commit_index": replica.commit_index,
+            "group_voters": len(replica.voters),
+            "upstreams": len(self._registrations),
+            "registrations_revision": self._registrations.revision,
+            "entries": len(self.entries()),
+            "controls": len(self.controls()),
+        }
+
     def directory(self) -> tuple[list[EntryPlace], dict[str, int]]:
         """Return the entry instances, and the services that each data centre has."""
         places = [
--- a/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
@@ -137,9 +137,11 @@
             self._finish(Outcome.NOT_RUN, response)
         elif response.header(dialect.not_run) is not None:
             self.replica.note_rejection(now_ms=now_ms, pause_ms=_REJECTION_PAUSE_MS)
+            self._directory.metrics.attempt_failed("rejected")
             self._finish(Outcome.NOT_RUN, response)
         elif response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self.replica.note_error(now_ms=now_ms)
+            self._directory.metrics.attempt_failed(f"status_{response.status}")
             self._finish(Outcome.ERROR, response)
         else:
             latency_ms = now_ms - self.started_ms
@@ -155,6 +157,7 @@
         """Note that there is no response."""
         if kind is not FailureKind.ABANDONED and self._sent:
             self.replica.note_broken(now_ms=self._directory.clock.monotonic_ms())
+        self._directory.metrics.attempt_failed(str(kind))
         logger.info(
             "event=attempt_failed request=%s upstream=%s service=%s cause=%s sent=%s "
             "failure_rate=%.2f",
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -248,6 +248,13 @@
 
     def _answer(self, response: HttpResponse, cause: str) -> None:
         self._responder.respond(response)
+        duration_ms = self._context.clock.monotonic_ms() - self._received_ms
+        self._context.metrics.request_ended(
+            route=self._route.name,
+            outcome=cause,
+            duration_ms=duration_ms,
+            coverage=self._gather.coverage,
+        )
         missing = [*self._fan_out.missing(), *self._fallback.missing()]
         missing += [
             f"{shard}@helper"
@@ -263,7 +270,7 @@
             self._route.name,
             cause,
             response.status,
-            self._context.clock.monotonic_ms() - self._received_ms,
+            duration_ms,
             self._gather.coverage,
             ",".join(missing),
             sum(len(delegation.shards) for delegation in self._delegations),
--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -19,6 +19,7 @@
 from cuminbendd.entry._settings import EntrySettings
 from cuminbendd.entry._upstreams import UpstreamDirectory
 from cuminbendd.http1 import HttpRequest, HttpResponse
+from cuminbendd.metrics import Metrics
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 _CONNECTION_HEADERS = frozenset(
@@ -74,7 +75,9 @@
         upstreams: UpstreamDirectory,
         retries: RetryBudgets,
         peers: Peers | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
+        self.metrics = metrics or Metrics()
         self.peers = peers
         self.settings = settings
         self.dialect = dialect
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -23,6 +23,7 @@
 from cuminbendd.entry._upstreams import UpstreamDirectory
 from cuminbendd.feed import ControlInfo, EntryInfo, FeedClient, Hello, Status, Update
 from cuminbendd.http1 import HttpRequest, HttpResponse, HttpServer, Responder
+from cuminbendd.metrics import Metrics
 
 logger = logging.getLogger(__name__)
 
@@ -59,8 +60,9 @@
         self.settings = settings
         self._clock = clock
         self._decode = decode
+        self.metrics = Metrics(gauges=self._gauges)
         self._upstreams = UpstreamDirectory(
-            settings=settings, clock=clock, dialect=dialect
+            settings=settings, clock=clock, dialect=dialect, metrics=self.metrics
         )
         self._retries = RetryBudgets(settings=settings.retries)
         self._peers = Peers(own=settings.instance, clock=clock)
@@ -70,6 +72,7 @@
             upstreams=self._upstreams,
             retries=self._retries,
             peers=self._peers if settings.helper_address else None,
+            metrics=self.metrics,
         )
         self._helper = Helper(self._context)
         self._controls: dict[str, ControlInfo] = {}
@@ -79,6 +82,7 @@
         self._entries: tuple[EntryInfo, ...] = ()
         self._is_stopping = False
         self._lag_ms = 0.0
+        self._news_ms = clock.monotonic_ms()
         self.server = HttpServer(
             handler=self.handle, clock=clock, limits=self._caller_limits
         )
@@ -196,6 +200,19 @@
         kind = FanOutRequest if route.shards else SingleRequest
         kind(context=context, route=route, request=request, responder=responder).start()
 
+    def _gauges(self) -> dict[str, float]:
+        return {
+            **self._upstreams.gauges(),
+            "configuration_version": self.version,
+            "caller_connections": len(self.server.connections),
+            "callers_waiting": self.server.busy,
+            "helper_tasks": self._helper.busy,
+            "control_joined": float(self._feed.source is not None),
+            "news_age_ms": self._clock.monotonic_ms() - self._news_ms,
+            "loop_lag_ms": self._lag_ms,
+            "retry_tokens_least": self._retries.least(),
+        }
+
     def directory(self) -> tuple[list[EntryPlace], dict[str, int]]:
         """Return the entry instances, and the services that each data centre has."""
         places = [
@@ -260,6 +277,7 @@
             self._controls = {item.address: item for item in update.controls}
         if not update.is_current:
             return
+        self._news_ms = self._clock.monotonic_ms()
         if update.content is not None:
             self._set_configuration(update.content)
         if update.evacuated is not None:
--- a/packages/cuminbendd/src/cuminbendd/entry/_shards.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_shards.py
@@ -173,6 +173,7 @@
         ]
         if hedged:
             self.hedges += len(hedged)
+            self._context.metrics.count("hedge", len(hedged))
             logger.info(
                 "event=hedged request=%s services=%s delay_ms=%.1f",
                 self._prepared.request_id.decode("latin-1"),
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -125,6 +125,7 @@
             attempt.mark_overdue()
         if self._may_send_again() and self._send():
             self._hedges += 1
+            self._context.metrics.count("hedge")
             logger.info(
                 "event=hedged request=%s service=%s delay_ms=%.1f",
                 self._request_id,
@@ -196,6 +197,10 @@
     ) -> None:
         self._end()
         self._responder.respond(response)
+        duration_ms = self._context.clock.monotonic_ms() - self._received_ms
+        self._context.metrics.request_ended(
+            route=self._route.name, outcome=cause, duration_ms=duration_ms
+        )
         logger.info(
             "event=request_ended request=%s route=%s outcome=%s status=%d "
             "duration_ms=%.1f service=%s upstream=%s hedges=%d tried=%s version=%d",
@@ -203,7 +208,7 @@
             self._route.name,
             cause,
             response.status,
-            self._context.clock.monotonic_ms() - self._received_ms,
+            duration_ms,
             self._service,
             attempt.replica.upstream if attempt else "",
             self._hedges,
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -22,6 +22,7 @@
 from cuminbendd.entry._dialect import Dialect
 from cuminbendd.entry._pool import ConnectionPool
 from cuminbendd.entry._settings import EntrySettings
+from cuminbendd.metrics import Metrics
 
 logger = logging.getLogger(__name__)
 
@@ -44,9 +45,15 @@
     """
 
     def __init__(
-        self, *, settings: EntrySettings, clock: Clock, dialect: Dialect
+        self,
+        *,
+        settings: EntrySettings,
+        clock: Clock,
+        dialect: Dialect,
+        metrics: Metrics,
     ) -> None:
         self.clock = clock
+        self.metrics = metrics
         self.dialect = dialect
         self.evacuated: frozenset[str] = frozenset()
         self._settings = settings
@@ -365,6 +372,26 @@
         """Entry instances that share the limits; those standing by hardly count."""
         return len(self._active) if self.is_active else len(self._entries)
 
+    def gauges(self) -> dict[str, float]:
+        """Return counts of upstreams and connections."""
+        now_ms = self.clock.monotonic_ms()
+        counts: Counter[str] = Counter()
+        for pool in self._pools.values():
+            replica = pool.replica
+            state = str(replica.state)
+            if replica.cold_until_ms > now_ms:
+                state = "cold"
+            elif replica.backoff_until_ms > now_ms:
+                state = "backing_off"
+            place = replica.data_centre
+            counts[f"upstreams{{state={state},data_centre={place}}}"] += 1
+            counts["upstream_connections"] += pool.size
+            counts["attempts_in_flight"] += replica.in_flight
+            counts["attempts_overdue"] += replica.overdue
+        counts["entries"] = len(self._entries)
+        counts["entries_active"] = len(self._active)
+        return dict(counts)
+
     def dump(self) -> dict[str, object]:
         """Return the state for operators."""
         return {
