Count rejections against a replica, and elect early after a restart

(2) After the loss of all processes the group waited a whole election timeout, which only leases need.

Ruled out: a larger retry budget (the users' bound); longer pauses after a rejection (a replica that is full for a moment would lose its turn).

Change: a rejection counts as a failure of the replica; the first election comes after 50 to 250 ms in the control group of this platform.

--- a/packages/cuminbend/src/cuminbend/consensus/_core.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_core.py
@@ -81,7 +81,7 @@
         self.leader: str | None = None
         self.compacted_size_bytes = 0
         self.led_since_ms: float | None = None
-        self.heard_leader_ms = 0.0
+        self.heard_leader_ms = float("-inf")
         self.commit_index = 0
         self.leader_commit_index = 0
         self.hinted_voters: tuple[Voter, ...] = ()
@@ -100,7 +100,8 @@
             self.commit_index = self.storage.snapshot.index
         # A voter that restarts may have heard from a leader just before, so it keeps
         # its promise not to vote within the minimum election timeout.
-        self.heard_leader_ms = self.clock.monotonic_ms()
+        if self.settings.first_timeout_max_ms is None:
+            self.heard_leader_ms = self.clock.monotonic_ms()
         self.started = True
 
     # Waiting
@@ -179,6 +180,11 @@
         since_ms = self.clock.monotonic_ms() - self.settings.candidate_lifetime_ms
         return [name for name, at_ms in self._candidates.items() if at_ms >= since_ms]
 
+    @property
+    def leader_ever_heard(self) -> bool:
+        """Whether a leader was heard since the start."""
+        return self.heard_leader_ms > float("-inf")
+
     # Role; the lock must be held where a file is written
 
     async def adopt_term(self, term: int) -> None:
--- a/packages/cuminbend/src/cuminbend/consensus/_replica.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_replica.py
@@ -234,10 +234,8 @@
 
     async def _stand_by(self) -> None:
         """Stand for election once no leader was heard for a random timeout."""
-        core, settings = self._core, self._settings
-        timeout_ms = self._random.uniform(
-            settings.election_timeout_min_ms, settings.election_timeout_max_ms
-        )
+        core = self._core
+        timeout_ms = self._election_timeout_ms()
         start_ms = self._clock.monotonic_ms()
         while core.is_voter:
             silent_since_ms = max(start_ms, core.heard_leader_ms)
@@ -253,6 +251,15 @@
                 remaining_ms,
             )
 
+    def _election_timeout_ms(self) -> float:
+        settings = self._settings
+        first_max_ms = settings.first_timeout_max_ms
+        if self._core.leader_ever_heard or first_max_ms is None:
+            return self._random.uniform(
+                settings.election_timeout_min_ms, settings.election_timeout_max_ms
+            )
+        return self._random.uniform(first_max_ms / 5, first_max_ms)
+
     async def _disk_works(self) -> bool:
         """Probe the disk: a leader that cannot write would only cause an outage."""
         if await self._core.probe_disk():
--- a/packages/cuminbend/src/cuminbend/consensus/tests/test_replacement.py
+++ b/packages/cuminbend/src/cuminbend/consensus/tests/test_replacement.py
@@ -101,6 +101,46 @@
     cluster_test(test)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_restart_of_all_elects_early(seed: int) -> None:
+    """Guards against a group that waits a whole timeout when nobody can lead."""
+
+    async def test(cluster: Cluster) -> None:
+        cluster.start()
+        await cluster.commit(5)
+        for node in cluster.nodes.values():
+            node.kill()
+        await anyio.sleep(1)
+        cluster.start()
+        start_s = anyio.current_time()
+        await cluster.commit(1)
+        assert anyio.current_time() - start_s < 0.6
+        await cluster.settled()
+
+    cluster_test(test, seed, first_timeout_max_ms=250)
+
+
+def test_early_vote_does_not_disturb_a_leader() -> None:
+    """Guards against a restarted voter that unseats the leader it has not heard yet."""
+
+    async def test(cluster: Cluster) -> None:
+        cluster.start()
+        await cluster.commit(5)
+        leader = cluster.leader()
+        assert leader is not None
+        term = leader.replica.term
+        for follower in cluster.followers():
+            follower.kill()
+            await anyio.sleep(0.1)
+            follower.start()
+            await anyio.sleep(2)
+        assert leader.replica.term == term
+        assert leader.replica.is_leader
+        await cluster.settled()
+
+    cluster_test(test, first_timeout_max_ms=250)
+
+
 def test_instance_without_permission_starts_no_cluster() -> None:
     """Guards against a second history that a newcomer starts with empty peers."""
 
--- a/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -123,8 +123,12 @@
         self.failure_rate += self.settings.sample_weight * (1 - self.failure_rate)
 
     def note_rejection(self, *, now_ms: float, pause_ms: float) -> None:
-        """Note an attempt that the replica rejected because it is full."""
-        self._forget(now_ms)
+        """Note an attempt that the replica rejected.
+
+        It may be full for a moment, or reject a share of its requests for long while
+        its health is good, so the rejection counts as a failure too.
+        """
+        self.note_error(now_ms=now_ms)
         self.backoff_until_ms = max(self.backoff_until_ms, now_ms + pause_ms)
 
     def note_broken(self, *, now_ms: float) -> None:
--- a/packages/cuminbend/src/cuminbend/forwarding/tests/test_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/tests/test_replicas.py
@@ -1,5 +1,7 @@
 """Tests of placement: each replays observations and asserts who gets the next one."""
 
+import random
+
 import pytest
 
 from cuminbend.forwarding import (
@@ -76,6 +78,27 @@
     assert chosen(replicas, now_ms=60_000) == {"grey": 20}
 
 
+def test_shedding_replica_loses_its_share() -> None:
+    """Guards against a replica that sheds three in five and keeps half of the work.
+
+    Replays the load of a service of which one replica sheds without being full:
+    each rejection costs an extra attempt from the retry budget.
+    """
+    shedding, other = replica("shedding"), replica("other", "b")
+    replicas = group(shedding, other)
+    rng = random.Random(1)
+    rejected, now_ms = 0, 0.0
+    for _ in range(400):
+        now_ms += 130.0
+        chosen_first = replicas.choose(now_ms=now_ms)
+        if chosen_first is shedding and rng.random() < 0.6:
+            rejected += 1
+            shedding.note_rejection(now_ms=now_ms, pause_ms=40)
+        elif chosen_first is not None:
+            chosen_first.note_answer(latency_ms=10, median_ms=10, now_ms=now_ms)
+    assert rejected < 0.2 * 400
+
+
 def test_slow_replica_is_avoided_and_tried_again() -> None:
     """Guards against a replica at a fraction of its speed that keeps its share."""
     slow, other = replica("slow"), replica("other", "b")
--- a/packages/cuminbendd/src/cuminbendd/control/_group.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_group.py
@@ -33,6 +33,7 @@
 # of the whole group nothing is served until there is a leader.
 _ELECTION_TIMEOUT_MIN_MS = 350.0
 _ELECTION_TIMEOUT_MAX_MS = 700.0
+_FIRST_TIMEOUT_MAX_MS = 250.0
 _RPC_TIMEOUT_MS = 200.0
 _ADMIT_TIMEOUT_MS = 300.0
 _READ_TIMEOUT_MS = 400.0
@@ -79,6 +80,7 @@
                 rpc_timeout_ms=_RPC_TIMEOUT_MS,
                 election_timeout_min_ms=_ELECTION_TIMEOUT_MIN_MS,
                 election_timeout_max_ms=_ELECTION_TIMEOUT_MAX_MS,
+                first_timeout_max_ms=_FIRST_TIMEOUT_MAX_MS,
             ),
             storage=LogStorage(disk=self._disk, instance=settings.channel_address),
             transport=self._calls,
