Ask a shard again whose upstream rejected it, while there is time

Change: a shard may be sent again to an upstream that rejected it, after its pause and within the retry budget; such shards count as pending until the objective.

--- a/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -231,6 +231,22 @@
             if self._takes_work(replica, now_ms, evacuated)
         )
 
+    def takes_work_by(
+        self,
+        *,
+        now_ms: float,
+        by_ms: float,
+        excluded: Collection[str] = (),
+        evacuated: Collection[str] = (),
+    ) -> bool:
+        """Return whether a warm replica takes work now or will before ``by_ms``."""
+        return any(
+            replica.upstream not in excluded
+            and replica.cold_until_ms <= now_ms
+            and self._takes_work(replica, by_ms, evacuated)
+            for replica in self.replicas
+        )
+
     def choose_cold(
         self,
         *,
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -69,6 +69,7 @@
             prepared=self._prepared,
             hedging=self._hedging,
             max_attempts=max_attempts,
+            retry_until_ms=self._answer_by_ms,
             on_part=self._on_part,
             on_progress=self._answer_if_due,
         )
--- a/packages/cuminbendd/src/cuminbendd/entry/_helper.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_helper.py
@@ -114,6 +114,7 @@
             hedging=context.hedging_of(delegate.route)
             or HedgeDelay(objective_ms=max(1.0, delegate.answer_in_ms)),
             max_attempts=delegate.max_attempts,
+            retry_until_ms=now_ms + delegate.answer_in_ms,
             on_part=self._on_part,
             on_progress=self._report_if_due,
         )
--- a/packages/cuminbendd/src/cuminbendd/entry/_shards.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_shards.py
@@ -42,6 +42,7 @@
         prepared: The request.
         hedging: Hedge delay of its route.
         max_attempts: Upstreams that one shard may be sent to.
+        retry_until_ms: Monotonic time after which no attempt is worth sending.
         on_part: Takes a part; returns False if it does not count.
         on_progress: Called after each change of what is pending.
     """
@@ -53,6 +54,7 @@
         prepared: PreparedRequest,
         hedging: HedgeDelay,
         max_attempts: int,
+        retry_until_ms: float,
         on_part: Callable[[str, Part], bool],
         on_progress: Callable[[], None],
     ) -> None:
@@ -60,6 +62,7 @@
         self._prepared = prepared
         self._hedging = hedging
         self._max_attempts = max_attempts
+        self._retry_until_ms = retry_until_ms
         self._on_part = on_part
         self._on_progress = on_progress
         self._shards: list[_Shard] = []
@@ -85,7 +88,20 @@
     @property
     def pending(self) -> int:
         """Shards that are not in and may still come in."""
-        return sum(bool(shard.open) and not shard.is_in for shard in self._shards)
+        return sum(
+            not shard.is_in and (bool(shard.open) or self._may_recover(shard))
+            for shard in self._shards
+        )
+
+    def _may_recover(self, shard: _Shard) -> bool:
+        """Return whether a shard without an attempt can get another one in time."""
+        if not self.retries or self._is_ended:
+            return False
+        if shard.rejected > _MAX_REJECTED or shard.may_have_run >= self._max_attempts:
+            return False
+        return self._context.upstreams.takes_work_by(
+            shard.service, by_ms=self._retry_until_ms, excluded=shard.tried
+        )
 
     @property
     def may_have_run(self) -> bool:
@@ -155,7 +171,8 @@
         if shard.may_have_run + len(shard.open) >= self._max_attempts:
             return False
         # The first arrival at each shard is not extra.
-        return not shard.tried or self._context.retries.try_spend(shard.service)
+        is_first = not shard.open and not shard.may_have_run and not shard.rejected
+        return is_first or self._context.retries.try_spend(shard.service)
 
     def _schedule_tick(self, delay_ms: float) -> None:
         self._tick = self._loop.call_later(delay_ms / 1000, self._on_tick)
@@ -203,6 +220,8 @@
         shard.open.remove(attempt)
         if outcome is Outcome.NOT_RUN:
             shard.rejected += 1
+            # It did not run there, so it may be sent there again after a pause.
+            shard.tried.remove(attempt.replica.upstream)
         else:
             shard.may_have_run += 1
         if self._is_ended or shard.is_in:
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -288,6 +288,18 @@
         now_ms = self.clock.monotonic_ms()
         return group.places(now_ms=now_ms, evacuated=self.evacuated)
 
+    def takes_work_by(
+        self, service: str, *, by_ms: float, excluded: Collection[str]
+    ) -> bool:
+        """Return whether a warm upstream takes work now or will before a time."""
+        group = self._groups.get(service)
+        return group is not None and group.takes_work_by(
+            now_ms=self.clock.monotonic_ms(),
+            by_ms=by_ms,
+            excluded=excluded,
+            evacuated=self.evacuated,
+        )
+
     def served(self) -> dict[str, int]:
         """Return the number of services with a ready upstream, by data centre."""
         places: Counter[str] = Counter()
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_fanout.py
@@ -123,6 +123,27 @@
     run(test)
 
 
+def test_rejected_shard_is_asked_again_after_a_pause() -> None:
+    """Guards against a failed query while a full upstream can be asked again."""
+    ups = [shard(index) for index in range(4)]
+    good = ups[0].reply
+
+    async def reject_once(request: SeenRequest) -> bytes | None:
+        if len(ups[0].seen) == 1:
+            return status(503, b"x-not-run: 1")
+        return await good(request)
+
+    ups[0].reply = reject_once
+
+    async def test() -> None:
+        route = {**ROUTE, "min_coverage": 1.0, "objective_ms": 1500.0}
+        async with World(*ups, route=route) as world:
+            assert (await world.ask()).status == 200
+            assert len(ups[0].seen) == 2
+
+    run(test)
+
+
 def test_stragglers_are_hedged_within_the_budget() -> None:
     """Guards against hedges beyond what the retry budget allows."""
     slow = [shard(index, 0) for index in range(4)]
@@ -143,6 +164,26 @@
     run(test)
 
 
+def test_rejections_draw_on_the_budget() -> None:
+    """Guards against retries of rejected attempts that no budget bounds."""
+    ups = [shard(index) for index in range(4)]
+    rejection = status(503, b"x-not-run: 1")
+
+    async def reject(request: SeenRequest) -> bytes:
+        return rejection
+
+    ups[0].reply = reject
+
+    async def test() -> None:
+        async with World(*ups, route=ROUTE, slack=0.0) as world:
+            for number in range(12):
+                assert (await world.ask(request_id=f"i{number}")).status == 200
+            # Each request earns one extra attempt here, and no slack is left.
+            assert len(ups[0].seen) <= 24
+
+    run(test)
+
+
 def test_late_part_keeps_its_connection() -> None:
     """Guards against a new connection for every straggler."""
     up = shard(3)
