--- a/packages/cuminbend/src/cuminbend/forwarding/_retry_budgets.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_retry_budgets.py
@@ -18,7 +18,7 @@
 
     ratio: float = 0.1
     slack: float = 10.0
-    safety: float = 0.75
+    safety: float = 0.9
 
 
 class RetryBudgets:
