--- a/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
@@ -138,10 +138,12 @@
         elif response.header(dialect.not_run) is not None:
             self.replica.note_rejection(now_ms=now_ms, pause_ms=_REJECTION_PAUSE_MS)
             self._directory.metrics.attempt_failed("rejected")
+            self._log_refused("attempt_rejected", response)
             self._finish(Outcome.NOT_RUN, response)
         elif response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self.replica.note_error(now_ms=now_ms)
             self._directory.metrics.attempt_failed(f"status_{response.status}")
+            self._log_refused("attempt_error", response)
             self._finish(Outcome.ERROR, response)
         else:
             latency_ms = now_ms - self.started_ms
@@ -170,6 +172,21 @@
         )
         self._finish(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN, None)
 
+    def _log_refused(self, event: str, response: UpstreamResponse) -> None:
+        replica = self.replica
+        logger.info(
+            "event=%s request=%s upstream=%s service=%s status=%d failure_rate=%.2f "
+            "in_flight=%d queued=%d",
+            event,
+            self.request_id.decode("latin-1"),
+            replica.upstream,
+            replica.service,
+            response.status,
+            replica.failure_rate,
+            replica.in_flight,
+            replica.queued,
+        )
+
     def _note_load(self, load: bytes, now_ms: float) -> None:
         fields = load.split(b",")
         if len(fields) == 3 and fields[1].strip().isdigit():
--- a/packages/cuminbendd/src/cuminbendd/http1/tests/test_server.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/tests/test_server.py
@@ -79,6 +79,19 @@
     assert run(exchange(data)).startswith(b"HTTP/1.1 %d " % code)
 
 
+def test_travel_time_counts_a_handshake() -> None:
+    """Guards against answers that are late by the handshake of a new connection."""
+    travel_ms: list[float] = []
+
+    def note(request: HttpRequest, responder: Responder) -> None:
+        travel_ms.append(request.travel_ms)
+        echo(request, responder)
+
+    data = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" + request("GET /2 HTTP/1.1")
+    run(exchange(data, handler=note))
+    assert travel_ms[0] == 2 * travel_ms[1] > 0
+
+
 def test_idle_connection_is_closed() -> None:
     """Guards against descriptors that idle callers hold for ever."""
     assert run(exchange(b"")) == b""
