Cancel connections that a closed pool is opening

Cause: a pool of an upstream that is gone could still open its first connection; in tests such tasks outlived their loop and were reported at the end.

--- a/packages/cuminbendd/src/cuminbendd/entry/_pool.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_pool.py
@@ -94,7 +94,7 @@
 
     def warm_up(self) -> None:
         """Open a first connection, so that the first request need not wait for it."""
-        if not self._open and not self._connecting:
+        if not self._is_closed and not self._open and not self._connecting:
             self._connect()
 
     def expire(self, now_ms: float) -> None:
@@ -107,6 +107,8 @@
     def close(self) -> None:
         """Close idle connections; those in use close after their response."""
         self._is_closed = True
+        for task in tuple(self._tasks):
+            task.cancel()
         for connection in tuple(self._idle):
             connection.close()
         self._fail_waiting()
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_single.py
@@ -130,6 +130,22 @@
     run(test)
 
 
+def test_closed_pool_opens_no_connection() -> None:
+    """Guards against connections to an upstream that is gone."""
+    up = FakeUpstream("u1", "s")
+
+    async def test() -> None:
+        async with World(up) as world:
+            pool = world.entry._upstreams._pools["u1"]
+            world.announce(world.registration(up, sequence=2, state=UpstreamState.GONE))
+            pool.warm_up()
+            assert pool.size == 0
+            await asyncio.sleep(0.3)
+            assert up.connections == 0
+
+    run(test)
+
+
 def test_no_upstream_is_refused_at_once() -> None:
     """Guards against a request that is held although nothing can serve it."""
     up = FakeUpstream("u1", "s")
