--- a/packages/cuminbendd/src/cuminbendd/control/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_instance.py
@@ -34,6 +34,7 @@
     Status,
     Update,
 )
+from cuminbendd.logs import log_task_failure
 from cuminbendd.metrics import Metrics
 
 logger = logging.getLogger(__name__)
@@ -188,7 +189,7 @@
                     needs_current=False,
                 )
                 task = asyncio.ensure_future(client.run())
-                task.add_done_callback(_log_failure)
+                task.add_done_callback(log_task_failure)
                 self._peer_feeds[address] = task
 
     def hello(self) -> Hello:
@@ -436,9 +437,3 @@
             },
             default=str,
         ).encode()
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    """Log the error that ended a task, which nobody waits for."""
-    if not task.cancelled() and task.exception() is not None:
-        logger.error("event=task_failed error='%r'", task.exception())
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -23,6 +23,7 @@
 from cuminbendd.entry._upstreams import UpstreamDirectory
 from cuminbendd.feed import ControlInfo, EntryInfo, FeedClient, Hello, Status, Update
 from cuminbendd.http1 import HttpRequest, HttpResponse, HttpServer, Responder
+from cuminbendd.logs import log_task_failure
 from cuminbendd.metrics import Metrics
 
 logger = logging.getLogger(__name__)
@@ -120,7 +121,7 @@
             asyncio.ensure_future(self._sweep()),
         ]
         for task in self._tasks:
-            task.add_done_callback(_log_failure)
+            task.add_done_callback(log_task_failure)
         logger.info(
             "event=started instance=%s role=entry address=%s",
             self.settings.instance,
@@ -328,9 +329,3 @@
         self._upstreams.set_table(table)
         self._share_limits()
         self._feed.notify()
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    """Log the error that ended a task, which nobody waits for."""
-    if not task.cancelled() and task.exception() is not None:
-        logger.error("event=task_failed error='%r'", task.exception())
--- a/packages/cuminbendd/src/cuminbendd/entry/_peers.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_peers.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import struct
-from collections.abc import Callable
 from typing import Protocol, cast
 
 import msgspec
@@ -126,6 +125,3 @@
                 self.close()
                 return
             self._owner.on_message(self, message)
-
-
-MessageSender = Callable[[PeerMessage], None]
--- a/packages/cuminbendd/src/cuminbendd/logs.py
+++ b/packages/cuminbendd/src/cuminbendd/logs.py
@@ -8,6 +8,8 @@
 
 from cuminbendd._logs import KeyValueFormatter
 
+logger = logging.getLogger(__name__)
+
 # About ten times the lines of an instance at its highest load.
 MAX_LINES_PER_S = 2000
 MAX_BYTES_PER_S = 512 << 10
@@ -74,6 +76,12 @@
             self._dropped += 1
 
 
+def log_task_failure(task: asyncio.Task[None]) -> None:
+    """Log the error that ended a task, which nobody waits for."""
+    if not task.cancelled() and task.exception() is not None:
+        logger.error("event=task_failed error='%r'", task.exception())
+
+
 def configure_bounded_logging(instance: str, level: str = "INFO") -> None:
     """Send all logs to standard output, one line of key=value pairs each."""
     handler = BoundedHandler(sys.stdout.fileno())
