Survive a write on a stream that its peer has just ended

Cause: gRPC raises asyncio.InvalidStateError for a write on a call that is done. The relay writer did not expect it, so an instance that wrote to a leaving peer between the end of the call and the end of its reader ended itself. Seen in one of 18 runs of the planned-stop test, load average 16: the process of a follower ended with the traceback, then the group had one voter left.

Ruled out: cancellation of the call (raises CancelledError, handled), a closed channel (UsageError, handled).

Change: the error breaks the stream like every other end of a call; requests on it fail with their true run state.

--- a/packages/cuminbendd/src/cuminbendd/peers/_relay.py
+++ b/packages/cuminbendd/src/cuminbendd/peers/_relay.py
@@ -4,6 +4,7 @@
 all. Under load, batches grow and the cost of a message is shared by many requests.
 """
 
+import asyncio
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
@@ -167,6 +168,8 @@
         except (
             grpc.aio.AioRpcError,
             grpc.aio.UsageError,
+            # A write on a call that the peer has ended in the meantime.
+            asyncio.InvalidStateError,
             PeerUnreachableError,
         ) as error:
             logger.debug(
