Hand over to a voter that has every entry, and stand back while leaving

Cause: a leader checked that its successor had all entries on disk, but proposals that were waiting at that moment were written after the check. The other voters then refused their votes (logged now: vote_refused with both last indexes, 129 against 131), nobody was elected, and the leaving voter won the next election. It stopped as the leader, which left the group without one for about a second: submits were refused and searches lost a shard.

Ruled out: a slow disk of the successor, a transfer request that was lost (both logs show the election of the next term and its refusal).

Change: a transfer waits until nothing is left to write, and no change of voters starts meanwhile. Replica.retire hands over until another voter leads, and a retired voter stands for election four times later than the others. Lost elections and refused votes are logged.

--- a/packages/cuminbend/src/cuminbend/consensus/_core.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_core.py
@@ -87,6 +87,7 @@
         self.hinted_voters: tuple[Voter, ...] = ()
         self.disk_works = True
         self.transfer_term = 0
+        self.is_retired = False
         self._candidates: dict[str, float] = {}
         self._waiting: dict[int, tuple[int, Proposal]] = {}
         self._changed = anyio.Event()
--- a/packages/cuminbend/src/cuminbend/consensus/_election.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_election.py
@@ -38,10 +38,20 @@
             return
         core.role = Role.CANDIDATE
         core.leader = None
-    if not await _collect_votes(core, term=term, pre_vote=False, transfer=transfer):
-        return
-    if core.storage.term == term and core.role is Role.CANDIDATE:
+    won = await _collect_votes(core, term=term, pre_vote=False, transfer=transfer)
+    if won and core.storage.term == term and core.role is Role.CANDIDATE:
         core.become_leader()
+        return
+    logger.info(
+        "event=election_lost instance=%s term=%d current_term=%d role=%s transfer=%s "
+        "last_index=%d",
+        core.settings.instance,
+        term,
+        core.storage.term,
+        core.role,
+        transfer,
+        core.storage.last_index,
+    )
 
 
 async def _collect_votes(
@@ -103,6 +113,18 @@
         granted = _may_grant(core, request)
         if granted and not request.pre_vote:
             granted = await _vote(core, request)
+        if not granted and not request.pre_vote:
+            logger.info(
+                "event=vote_refused instance=%s candidate=%s term=%d current_term=%d "
+                "candidate_last_index=%d last_index=%d voted_for=%s",
+                core.settings.instance,
+                request.candidate,
+                request.term,
+                core.storage.term,
+                request.last_index,
+                core.storage.last_index,
+                core.storage.voted_for.instance if core.storage.voted_for else "",
+            )
         return VoteReply(core.storage.term, granted, core.storage.disk_id)
 
 
--- a/packages/cuminbend/src/cuminbend/consensus/_leadership.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_leadership.py
@@ -274,12 +274,13 @@
                 group.start_soon(self._replicate, peer)
             self._check_majority()
             voters = self._next_voters()
-            if voters is not None:
+            if voters is not None and not self._transferring:
                 self._propose_voters(voters)
             # Between the two changes of a readmission four voters count, of which
             # one is lost, so the second change follows without delay.
             await core.wait_until(
-                lambda: self._next_voters() is not None, core.settings.heartbeat_ms
+                lambda: not self._transferring and self._next_voters() is not None,
+                core.settings.heartbeat_ms,
             )
 
     def _check_majority(self) -> None:
@@ -567,6 +568,14 @@
             key=lambda peer: (-peer.match_index, -peer.acknowledged_ms, peer.instance),
         )
 
+    def _has_everything(self, peer: Peer) -> bool:
+        """Return whether a peer has all entries and none is about to be written.
+
+        The other voters would refuse their votes to a successor that lacks an entry
+        written after the check.
+        """
+        return not self._pending and peer.match_index == self._storage.last_index
+
     async def _transfer_to(self, peer: Peer) -> bool:
         """Take no proposals while one voter catches up and stands for election."""
         core = self._core
@@ -574,10 +583,9 @@
         self._transferring = True
         try:
             await core.wait_until(
-                lambda: peer.match_index == self._storage.last_index or not self.active,
-                timeout_ms,
+                lambda: self._has_everything(peer) or not self.active, timeout_ms
             )
-            if self.active and peer.match_index == self._storage.last_index:
+            if self.active and self._has_everything(peer):
                 await core.transport.call(
                     peer.instance,
                     TimeoutNowRequest(self.term),
--- a/packages/cuminbend/src/cuminbend/consensus/_replica.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_replica.py
@@ -36,6 +36,10 @@
 
 logger = logging.getLogger(__name__)
 
+# A voter that leaves stands for election this much later than the others, so that it
+# leads again only if none of them can.
+_RETIRED_TIMEOUT_FACTOR = 4
+
 
 class Replica:
     """Replicates commands over the voters and drives the state machine.
@@ -194,6 +198,33 @@
         leadership = self._current_leadership()
         return await leadership.transfer() if leadership else False
 
+    async def retire(self, *, limit_ms: float) -> bool:
+        """Prepare for a planned stop: hand over, and stand back in later elections.
+
+        Args:
+            limit_ms: Time after which it gives up.
+
+        Returns:
+            Whether another voter leads.
+        """
+        core = self._core
+        core.is_retired = True
+        if self.voters == (core.me,):
+            return False
+        deadline_ms = self._clock.monotonic_ms() + limit_ms
+        while (left_ms := deadline_ms - self._clock.monotonic_ms()) > 0:
+            if self.is_leader:
+                await self.transfer_leadership()
+            wait_ms = min(left_ms, self._settings.election_timeout_max_ms)
+            await core.wait_until(
+                lambda: core.leader is not None or self.is_leader, wait_ms
+            )
+            if core.leader not in (None, self._settings.instance):
+                return True
+            # A transfer without a successor fails at once.
+            await self._clock.sleep(ms(self._settings.heartbeat_ms))
+        return False
+
     def _current_leadership(self) -> Leadership | None:
         leadership = self._leadership
         return leadership if leadership and leadership.active else None
@@ -255,9 +286,12 @@
         settings = self._settings
         first_max_ms = settings.first_timeout_max_ms
         if self._core.leader_ever_heard or first_max_ms is None:
-            return self._random.uniform(
+            timeout_ms = self._random.uniform(
                 settings.election_timeout_min_ms, settings.election_timeout_max_ms
             )
+            if self._core.is_retired:
+                return timeout_ms * _RETIRED_TIMEOUT_FACTOR
+            return timeout_ms
         return self._random.uniform(first_max_ms / 5, first_max_ms)
 
     async def _disk_works(self) -> bool:
--- a/packages/cuminbendd/src/cuminbendd/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/_instance.py
@@ -46,6 +46,8 @@
 FINISH_LIMIT_MS = 4000.0
 RELEASE_LIMIT_MS = 4000.0
 VIEW_INTERVAL_MS = 50.0
+# Room for two transfers of the leadership and an election.
+HAND_OVER_LIMIT_MS = 3000.0
 
 
 class Voter:
@@ -283,15 +285,21 @@
         with anyio.move_on_after(RELEASE_LIMIT_MS / 1000):
             await self._sessions.wait_released()
         logger.info("event=drain_released")
-        if self._voter is not None and self._voter.replica.is_leader:
-            await self._voter.replica.transfer_leadership()
+        await self._retire_voter()
         # Callers may hold a directory that still lists this instance for this long.
         await self._clock.sleep(ms(self._settings.timing.directory_max_age_ms))
+        # It may have been elected meanwhile if no other voter could be.
+        await self._retire_voter()
         http.should_exit = True
         with anyio.move_on_after(FINISH_LIMIT_MS / 1000):
             await http_done.wait()
         logger.info("event=drain_finished")
 
+    async def _retire_voter(self) -> None:
+        if self._voter is not None:
+            succeeded = await self._voter.replica.retire(limit_ms=HAND_OVER_LIMIT_MS)
+            logger.info("event=leadership_handed_over succeeded=%s", succeeded)
+
     def dump(self) -> dict[str, Any]:
         """Return what this process believes, and since when."""
         dump: dict[str, Any] = {
--- a/packages/cuminbendd/src/cuminbendd/control/_group.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_group.py
@@ -8,7 +8,6 @@
 from cuminbend.exceptions import (
     CorruptDataError,
     CuminbendError,
-    NoQuorumError,
     UnavailableError,
 )
 from cuminbend.newest import Command, NewestState, SetConfiguration, encode_command
@@ -39,6 +38,8 @@
 _READ_TIMEOUT_MS = 400.0
 _READ_WAIT_MS = 300.0
 _POLL_S = 0.02
+# Room for two transfers of the leadership and an election.
+_HAND_OVER_LIMIT_MS = 1500.0
 _RETRY_AFTER_MS = 200
 
 
@@ -244,10 +245,8 @@
 
     async def hand_over(self) -> None:
         """Hand the leadership over before this instance stops."""
-        try:
-            await self.replica.transfer_leadership()
-        except NoQuorumError as error:
-            logger.info("event=not_handed_over error='%s'", error)
+        succeeded = await self.replica.retire(limit_ms=_HAND_OVER_LIMIT_MS)
+        logger.info("event=leadership_handed_over succeeded=%s", succeeded)
 
     def close(self) -> None:
         """Close the connections to other members."""
