--- a/packages/cuminbendd/src/cuminbendd/entry/_delegation.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_delegation.py
@@ -30,6 +30,9 @@
 # instance of about one core may send twenty requests before it reads the task.
 _ACCEPT_ROUND_TRIPS = 2.0
 _ACCEPT_MARGIN_MS = 12.0
+# An event loop that runs late handles its timers before it reads. The message that a
+# task was taken may be waiting then, so it gets this long to be read.
+_ACCEPT_GRACE_S = 0.001
 
 
 class Delegation:
@@ -38,6 +41,7 @@
     Attributes:
         shards: The group; parts name them by position.
         is_open: Whether parts may still come.
+        is_accepted: Whether the other instance has said that it took the group.
     """
 
     def __init__(
@@ -122,7 +126,7 @@
         limit_ms = _ACCEPT_ROUND_TRIPS * self.round_trip_ms + _ACCEPT_MARGIN_MS
         loop = asyncio.get_running_loop()
         self._timers[task_id] = loop.call_later(
-            limit_ms / 1000, self._on_not_accepted, task_id
+            limit_ms / 1000, self._on_accept_due, task_id
         )
 
     def close(self) -> None:
@@ -164,16 +168,31 @@
         taken_ms = self._clock.monotonic_ms() - self._sent_ms[task_id]
         self.round_trip_ms += _SAMPLE_WEIGHT * (taken_ms - self.round_trip_ms)
 
+    def _on_accept_due(self, task_id: int) -> None:
+        loop = asyncio.get_running_loop()
+        self._timers[task_id] = loop.call_later(
+            _ACCEPT_GRACE_S, self._on_not_accepted, task_id
+        )
+
     def _on_not_accepted(self, task_id: int) -> None:
+        """Take back the task and give the instance no other one for a while.
+
+        The other tasks that it has taken go on: it may have asked their shards twice
+        already, so nobody else may ask them.
+        """
         delegation = self._tasks.get(task_id)
         if delegation is None:
             return
         self._suspect("task_not_accepted")
-        # Closing the connection keeps the instance from starting tasks late.
-        connection = self._connection
-        if connection is not None:
+        # The instance reads the task and its end together if it stands still.
+        self._cancel(task_id)
+        delegation.on_failed(delegation)
+        loop = asyncio.get_running_loop()
+        loop.call_later(_SUSPECT_MS / 1000, self._close, self._connection)
+
+    def _close(self, connection: PeerConnection | None) -> None:
+        if connection is not None and connection is self._connection:
             connection.close()
-            self.on_closed(connection)
 
     def _suspect(self, cause: str) -> None:
         self._suspect_until_ms = self._clock.monotonic_ms() + _SUSPECT_MS
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -53,9 +53,9 @@
         )
         self._gather = Gather(shards=route.shards, min_coverage=route.min_coverage)
         self._fan_out = self._new_fan_out(route.max_attempts)
-        # Shards that were given to another instance in vain: it may have sent one
-        # attempt each.
-        self._fallback = self._new_fan_out(max(1, route.max_attempts - 1))
+        # Shards of a group that another instance did not take in time: it may have
+        # sent the first attempt of each.
+        self._fallback = self._new_fan_out(route.max_attempts - 1)
         self._delegations: list[Delegation] = []
         self._loop = asyncio.get_running_loop()
         self._timers: list[asyncio.TimerHandle] = []
@@ -179,7 +179,10 @@
         self._answer_if_due()
 
     def _on_helper_failed(self, delegation: Delegation) -> None:
-        """Ask the shards of a lost instance directly."""
+        """Ask the shards of a group that was not taken directly.
+
+        An instance that took a group may have used all attempts of its shards.
+        """
         if self._is_answered or self._objective_passed:
             self._answer_if_due()
             return
@@ -192,7 +195,8 @@
             len(missing),
             delegation.is_accepted,
         )
-        self._fallback.start(missing)
+        if not delegation.is_accepted and self._route.max_attempts > 1:
+            self._fallback.start(missing)
         self._answer_if_due()
 
     # Answers
--- a/packages/cuminbendd/src/cuminbendd/entry/_helper.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_helper.py
@@ -19,6 +19,10 @@
 
 logger = logging.getLogger(__name__)
 
+# The instance that gave a task may take it back and send one attempt to each shard
+# itself. Until it would have done so, no shard gets a second attempt from here.
+_SINGLE_ATTEMPT_MS = 10.0
+
 
 class Helper:
     """Takes tasks of other entry instances.
@@ -77,7 +81,7 @@
 
     def on_closed(self, connection: PeerConnection) -> None:
         """End the tasks of an instance that is gone."""
-        for task in self._tasks.pop(connection, {}).values():
+        for task in tuple(self._tasks.pop(connection, {}).values()):
             task.cancel()
 
 
@@ -117,6 +121,7 @@
             retry_until_ms=now_ms + delegate.answer_in_ms,
             on_part=self._on_part,
             on_progress=self._report_if_due,
+            again_from_ms=now_ms + _SINGLE_ATTEMPT_MS,
         )
 
     def start(self) -> None:
--- a/packages/cuminbendd/src/cuminbendd/entry/_shards.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_shards.py
@@ -45,6 +45,7 @@
         retry_until_ms: Monotonic time after which no attempt is worth sending.
         on_part: Takes a part; returns False if it does not count.
         on_progress: Called after each change of what is pending.
+        again_from_ms: Monotonic time before which no shard gets a second attempt.
     """
 
     def __init__(
@@ -57,8 +58,10 @@
         retry_until_ms: float,
         on_part: Callable[[str, Part], bool],
         on_progress: Callable[[], None],
+        again_from_ms: float = 0.0,
     ) -> None:
         self._context = context
+        self._again_from_ms = again_from_ms
         self._prepared = prepared
         self._hedging = hedging
         self._max_attempts = max_attempts
@@ -170,6 +173,8 @@
             return False
         if shard.may_have_run + len(shard.open) >= self._max_attempts:
             return False
+        if self._context.clock.monotonic_ms() < self._again_from_ms:
+            return False
         # The first arrival at each shard is not extra.
         is_first = not shard.open and not shard.may_have_run and not shard.rejected
         return is_first or self._context.retries.try_spend(shard.service)
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
@@ -1,10 +1,18 @@
 """Tests of fan-outs of which another entry instance takes a part."""
 
 import asyncio
+import socket
+import struct
+import threading
+import time
 from collections.abc import Callable
 
+import msgspec
+import uvloop
 from cuminbend.forwarding import merge_greatest
 
+from cuminbendd.entry._delegation import Delegation, Peer
+from cuminbendd.entry._peers import Accepted, Delegate
 from cuminbendd.entry.tests._world import (
     FakeUpstream,
     SeenRequest,
@@ -14,6 +22,7 @@
     until,
 )
 from cuminbendd.feed import EntryInfo, Update
+from cuminbendd.system import SystemClock
 
 SHARDS = tuple(f"s{i}" for i in range(6))
 ROUTE = {"shards": SHARDS, "top_k": 4, "min_coverage": 0.5, "objective_ms": 600.0}
@@ -160,6 +169,117 @@
     run(test)
 
 
+def test_group_of_a_helper_that_ends_is_not_asked_again() -> None:
+    """Guards against three attempts at a shard that a helper had asked twice."""
+
+    async def test() -> None:
+        async with Pair() as pair:
+            pair.ups[5].reply = hang
+            asking = [
+                asyncio.ensure_future(pair.asked.ask(request_id=f"id-{number}"))
+                for number in range(2)
+            ]
+            await until(lambda: len(pair.ups[5].seen) == 2)
+            helper = pair.helper.entry._helper
+            helper.close()
+            for answer in asking:
+                assert (await answer).status == 200
+            assert len(pair.ups[5].seen) == 2
+            assert helper.busy == 0
+
+    run(test)
+
+
+def test_group_of_a_route_with_one_attempt_is_not_asked_again() -> None:
+    """Guards against a second attempt at a shard of a route that allows one."""
+
+    async def test() -> None:
+        async with Pair(max_attempts=1) as pair:
+            helper = pair.helper.entry._helper
+            helper.on_message = lambda *_: None  # type: ignore[method-assign]
+            answer = await pair.asked.ask()
+            assert answer.status == 200
+            assert answer.headers[b"x-missing-parts"] == b"3"
+            assert [len(up.seen) for up in pair.ups] == [1] * 3 + [0] * 3
+
+    run(test)
+
+
+def test_task_that_is_not_taken_leaves_the_others_alone() -> None:
+    """Guards against groups asked again because another request's was not taken."""
+
+    async def test() -> None:
+        async with Pair() as pair:
+            release = asyncio.Event()
+            good = pair.ups[5].reply
+
+            async def late(request: SeenRequest) -> bytes | None:
+                await release.wait()
+                return await good(request)
+
+            pair.ups[5].reply = late
+            first = asyncio.ensure_future(pair.asked.ask(request_id="id-1"))
+            await until(lambda: bool(pair.ups[5].seen))
+            helper = pair.helper.entry._helper
+            helper.on_message = lambda *_: None  # type: ignore[method-assign]
+            second = asyncio.ensure_future(pair.asked.ask(request_id="id-2"))
+            await until(lambda: len(pair.ups[5].seen) == 2)
+            release.set()
+            for answer in (await first, await second):
+                assert answer.status == 200
+                assert b"x-missing-parts" not in answer.headers
+            assert [len(up.seen) for up in pair.ups] == [2] * 6
+
+    run(test)
+
+
+def accept_tasks(listener: socket.socket) -> None:
+    """Say of each task, from a thread of its own, that it was taken."""
+    connection, _ = listener.accept()
+    decoder = msgspec.msgpack.Decoder(Delegate)
+    with connection:
+        while head := connection.recv(4, socket.MSG_WAITALL):
+            (size,) = struct.unpack("<I", head)
+            task = decoder.decode(connection.recv(size, socket.MSG_WAITALL))
+            content = msgspec.msgpack.encode(Accepted(task.task_id))
+            connection.sendall(struct.pack("<I", len(content)) + content)
+
+
+def test_late_event_loop_reads_before_it_gives_a_helper_up() -> None:
+    """Guards against tasks taken back from a helper that had answered in time."""
+
+    async def test() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        thread = threading.Thread(target=accept_tasks, args=(listener,), daemon=True)
+        thread.start()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        info = EntryInfo(
+            instance="e2", address="x:1", data_centre="b", helper_address=address
+        )
+        peer = Peer(info=info, clock=SystemClock())
+        peer.connect()
+        await until(lambda: peer.is_usable)
+        failed: list[Delegation] = []
+        delegation = Delegation(
+            shards=("s",), on_merged=lambda *_: None, on_failed=failed.append
+        )
+        peer.start(
+            delegation,
+            lambda task_id, round_trip_ms: Delegate(
+                task_id, b"id", b"", b"", ("s",), "r", 100.0, 100.0, 2, 4
+            ),
+        )
+        # Longer than a task may take to be accepted.
+        time.sleep(0.2)  # noqa: ASYNC251
+        await until(lambda: delegation.is_accepted or bool(failed))
+        assert not failed
+        peer.close()
+        listener.close()
+
+    # This event loop runs timers before it reads; the one of asyncio does not.
+    uvloop.run(test())
+
+
 def test_cancelled_task_is_not_started() -> None:
     """Guards against requests that reach upstreams long after their caller left."""
 
--- a/packages/cuminbendd/src/cuminbendd/peers/tests/test_relay.py
+++ b/packages/cuminbendd/src/cuminbendd/peers/tests/test_relay.py
@@ -61,7 +61,7 @@
             group.start_soon(stream.run)
             with pytest.raises(UnavailableError) as caught:
                 await stream.request(request)
-            while len(calls) < 3:
+            while len(calls) < 3:  # noqa: ASYNC110
                 await anyio.sleep(0.01)
             group.cancel_scope.cancel()
         expected = RunState.UNKNOWN if writes_left else RunState.NOT_RUN
