Read the feed near by, send changes of the directory, connect on demand

Updates carry the entry instances that changed; streams without news only send heartbeats. First connections are opened in the own data centre only, and only for services that are new.

Ruled out: groups of shards and the control log, which are small.

--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -78,7 +78,10 @@
         self._helper = Helper(self._context)
         self._controls: dict[str, ControlInfo] = {}
         self._feed = FeedClient(
-            sink=self, clock=clock, candidates=self._control_candidates
+            sink=self,
+            clock=clock,
+            candidates=self._control_candidates,
+            preferred=self._nearer_control,
         )
         self._entries: tuple[EntryInfo, ...] = ()
         self._is_stopping = False
@@ -247,6 +250,18 @@
         random.shuffle(seeds)
         return addresses + [item for item in seeds if item not in self._controls]
 
+    def _nearer_control(self, address: str) -> str | None:
+        """Return a control instance of the own data centre if the given one is not.
+
+        At the first start only the seeds are known, of which few are near.
+        """
+        own = self.settings.data_centre
+        held = self._controls.get(address)
+        if held is not None and held.data_centre == own:
+            return None
+        near = [item for item in self._controls.values() if item.data_centre == own]
+        return random.choice(near).address if near else None
+
     def hello(self) -> Hello:
         """Return what to tell a control instance first."""
         settings = self.settings
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -72,10 +72,12 @@
 
     def set_table(self, table: RoutingTable) -> None:
         """Take the declared limits of a configuration."""
+        new = table.services.keys() - self._policies.keys()
         self._policies = dict(table.services)
         self._resize_pools()
         for pool in self._pools.values():
-            self._warm_up(pool)
+            if pool.replica.service in new:
+                self._warm_up(pool)
 
     def set_entries(self, data_centres: Mapping[str, str]) -> None:
         """Take the entry instances that share the limits, with their data centres."""
@@ -265,8 +267,15 @@
             pool.limit = self._limit(pool.replica.service)
 
     def _warm_up(self, pool: ConnectionPool) -> None:
+        """Open a first connection to an upstream that is likely to be used soon.
+
+        Few requests go to other data centres, where connections cost the most and are
+        closed before they are used.
+        """
         if pool.replica.service not in self._policies or not self.is_active:
             return
+        if pool.replica.data_centre != self._settings.data_centre:
+            return
         self._warm_up_count += 1
         delay_s = (self._warm_up_count % 64) * _WARM_UP_STEP_S
         asyncio.get_running_loop().call_later(delay_s, pool.warm_up)
--- a/packages/cuminbendd/src/cuminbendd/feed/_messages.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_messages.py
@@ -100,7 +100,9 @@
         version: Version of the configuration in force.
         content: The configuration if the reader lacks it.
         evacuated: Data centres that get no work, if they changed.
-        entries: All entry instances in the directory, if they changed.
+        entries: Entry instances in the directory that are new or have changed, if
+            there is any change.
+        entries_gone: Entry instances that have left the directory.
         controls: All control instances known to the sender, if they changed.
     """
 
@@ -111,6 +113,7 @@
     content: bytes | None = None
     evacuated: tuple[str, ...] | None = None
     entries: tuple[EntryInfo, ...] | None = None
+    entries_gone: tuple[str, ...] = ()
     controls: tuple[ControlInfo, ...] | None = None
 
 
--- a/packages/cuminbendd/src/cuminbendd/feed/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_server.py
@@ -82,6 +82,7 @@
     evacuated: frozenset[str] | None = None
     entries: tuple[EntryInfo, ...] | None = None
     controls: tuple[ControlInfo, ...] | None = None
+    due_ms: float = 0.0
 
 
 class FeedServer:
@@ -138,11 +139,16 @@
         sent = _Sent(version=hello.version)
         while True:
             changed = self._changed
+            was_current = sent.is_current
             update = self._next_update(sent, is_control=hello.control is not None)
-            async with asyncio.timeout(SILENCE_MS / 1000):
-                await stream.write(update)
+            now_ms = self._clock.monotonic_ms()
+            # Most changes concern other readers than this one.
+            if now_ms >= sent.due_ms or _is_news(update, was_current):
+                sent.due_ms = now_ms + HEARTBEAT_MS
+                async with asyncio.timeout(SILENCE_MS / 1000):
+                    await stream.write(update)
             try:
-                async with asyncio.timeout(HEARTBEAT_MS / 1000):
+                async with asyncio.timeout(max(0.0, sent.due_ms - now_ms) / 1000):
                     await changed.wait()
             except TimeoutError:
                 continue
@@ -167,6 +173,7 @@
             evacuated = tuple(sorted(source.evacuated))
             sent.evacuated = source.evacuated
         entries = source.entries(held_here=is_control)
+        changed, gone = _entry_changes(sent.entries or (), entries)
         controls = source.controls()
         update = Update(
             is_current=is_current,
@@ -175,11 +182,41 @@
             version=stored.version,
             content=content,
             evacuated=evacuated,
-            entries=entries if entries != sent.entries else None,
+            entries=changed if entries != sent.entries else None,
+            entries_gone=gone,
             controls=controls if controls != sent.controls else None,
         )
         sent.is_first = False
+        sent.is_current = is_current
         sent.revision = source.revision
         sent.entries = entries
         sent.controls = controls
         return update
+
+
+def _entry_changes(
+    former: tuple[EntryInfo, ...], entries: tuple[EntryInfo, ...]
+) -> tuple[tuple[EntryInfo, ...], tuple[str, ...]]:
+    """Return the entry instances that are new or changed, and the names of lost ones.
+
+    A change of one of many instances is sent to each reader, so it must not cost the
+    whole directory.
+    """
+    known = set(former)
+    changed = tuple(entry for entry in entries if entry not in known)
+    names = {entry.instance for entry in entries}
+    gone = tuple(e.instance for e in former if e.instance not in names)
+    return changed, gone
+
+
+def _is_news(update: Update, was_current: bool) -> bool:
+    """Return whether an update says more than that its sender is there."""
+    return (
+        update.is_full
+        or update.is_current != was_current
+        or bool(update.registrations)
+        or update.content is not None
+        or update.evacuated is not None
+        or update.entries is not None
+        or update.controls is not None
+    )
