Hedge only where the second attempt starts at once

Change: a replica is free if its last report (at most 200 ms old) leaves a slot and the instance's own attempts do too. A hedge goes to a free replica only; a retry after a failure goes anywhere. No token of the retry budget is spent when there is no free one, and the next tick looks again.

--- a/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -29,6 +29,9 @@
         backoff_min_ms: Time without attempts after a first failed connection.
         backoff_max_ms: Longest time without attempts.
         max_overdue: Overdue attempts at which a replica gets no more.
+        queue_fresh_ms: Age up to which a reported queue counts when replicas are
+            compared; queues of short requests change quickly.
+        load_fresh_ms: Age up to which a reported load says that a replica is not free.
     """
 
     remote_cost: float = 3.5
@@ -39,6 +42,8 @@
     backoff_min_ms: float = 150.0
     backoff_max_ms: float = 2000.0
     max_overdue: int = 3
+    queue_fresh_ms: float = 100.0
+    load_fresh_ms: float = 200.0
 
 
 class Replica:
@@ -50,6 +55,8 @@
         cold_until_ms: Monotonic time until which it bears only little.
         in_flight: Attempts of this instance that it has not answered.
         overdue: Those of them that have passed the hedge delay.
+        running: Requests that it said it works on.
+        queued: Requests that it said are waiting.
         slowness: Moving average of latency over the route's median.
         failure_rate: Moving average of failed attempts, 0 to 1.
     """
@@ -66,7 +73,8 @@
         "incarnation_ms",
         "overdue",
         "queued",
-        "queued_at_ms",
+        "reported_ms",
+        "running",
         "service",
         "settings",
         "slots",
@@ -100,8 +108,9 @@
         self.overdue = 0
         self.slowness = 1.0
         self.failure_rate = 0.0
+        self.running = 0
         self.queued = 0
-        self.queued_at_ms = 0.0
+        self.reported_ms = float("-inf")
         self._failures = 0
         self._updated_ms = 0.0
 
@@ -141,16 +150,26 @@
         self._failures = min(self._failures + 1, 10)
         self.backoff_until_ms = max(self.backoff_until_ms, now_ms + pause_ms)
 
-    def note_load(self, *, queued: int, now_ms: float) -> None:
-        """Note the requests that the replica says are waiting."""
+    def note_load(self, *, running: int, queued: int, now_ms: float) -> None:
+        """Note the requests that the replica says it works on and has waiting."""
+        self.running = running
         self.queued = queued
-        self.queued_at_ms = now_ms
+        self.reported_ms = now_ms
+
+    def is_free(self, now_ms: float) -> bool:
+        """Return whether one more request would start at once, as far as is known."""
+        if self.in_flight >= self.slots:
+            return False
+        if now_ms - self.reported_ms > self.settings.load_fresh_ms:
+            return True
+        return not self.queued and self.running < self.slots
 
     def score(self, now_ms: float, data_centre: str) -> float:
         """Return the expected cost of one more attempt; lower is better."""
         self._forget(now_ms)
         settings = self.settings
-        queued = self.queued if now_ms - self.queued_at_ms < 100.0 else 0
+        is_fresh = now_ms - self.reported_ms < settings.queue_fresh_ms
+        queued = self.queued if is_fresh else 0
         waiting = (self.in_flight + queued) / self.slots
         cost = self.slowness * (1.0 + waiting)
         if self.data_centre != data_centre:
@@ -197,6 +216,7 @@
         now_ms: float,
         excluded: Collection[str] = (),
         evacuated: Collection[str] = (),
+        only_free: bool = False,
     ) -> Replica | None:
         """Return the warm replica with the lowest cost, or None if none takes work.
 
@@ -204,6 +224,7 @@
             now_ms: Monotonic time.
             excluded: Upstreams that this request was sent to before.
             evacuated: Data centres that get no work.
+            only_free: Leave out replicas at which the request would wait.
         """
         best: Replica | None = None
         best_score = float("inf")
@@ -216,6 +237,8 @@
                 continue
             if replica.cold_until_ms > now_ms or replica.upstream in excluded:
                 continue
+            if only_free and not replica.is_free(now_ms):
+                continue
             score = replica.score(now_ms, self._data_centre)
             if score < best_score:
                 best, best_score = replica, score
--- a/packages/cuminbend/src/cuminbend/forwarding/tests/test_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/tests/test_replicas.py
@@ -162,6 +162,27 @@
     """Guards against placement that ignores what other instances send."""
     queued, other = replica("queued"), replica("other", "b")
     replicas = group(queued, other)
-    queued.note_load(queued=6, now_ms=0)
+    queued.note_load(running=2, queued=6, now_ms=0)
     assert chosen(replicas, now_ms=10) == {"other": 20}
     assert chosen(replicas, now_ms=500) == {"queued": 20}
+
+
+@pytest.mark.parametrize(
+    ("in_flight", "running", "queued", "now_ms", "is_free"),
+    [
+        pytest.param(0, 1, 0, 0, True, id="a slot is left"),
+        pytest.param(0, 2, 0, 0, False, id="all slots are in use"),
+        pytest.param(0, 1, 1, 0, False, id="others wait"),
+        pytest.param(2, 0, 0, 0, False, id="own requests fill it"),
+        pytest.param(0, 2, 5, 500, True, id="the report is old"),
+    ],
+)
+def test_only_free_leaves_out_where_a_request_would_wait(
+    in_flight: int, running: int, queued: int, now_ms: float, is_free: bool
+) -> None:
+    """Guards against hedges to replicas that are as busy as the first one."""
+    item = replica("x")
+    item.in_flight = in_flight
+    item.note_load(running=running, queued=queued, now_ms=0)
+    found = group(item).choose(now_ms=now_ms, only_free=True)
+    assert (found is item) == is_free
--- a/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
@@ -189,8 +189,10 @@
 
     def _note_load(self, load: bytes, now_ms: float) -> None:
         fields = load.split(b",")
-        if len(fields) == 3 and fields[1].strip().isdigit():
-            self.replica.note_load(queued=int(fields[1]), now_ms=now_ms)
+        if len(fields) == 3 and all(field.strip().isdigit() for field in fields):
+            self.replica.note_load(
+                running=int(fields[0]), queued=int(fields[1]), now_ms=now_ms
+            )
 
     def _finish(self, outcome: Outcome, response: UpstreamResponse | None) -> None:
         if self.is_done:
--- a/packages/cuminbendd/src/cuminbendd/entry/_shards.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_shards.py
@@ -10,6 +10,7 @@
 
 from cuminbendd.entry._attempts import Attempt, Outcome
 from cuminbendd.entry._forwarding import ForwardingContext, PreparedRequest
+from cuminbendd.entry._pool import ConnectionPool
 from cuminbendd.http1 import UpstreamResponse
 
 logger = logging.getLogger(__name__)
@@ -83,7 +84,9 @@
         self._is_starting = True
         for shard in shards:
             self._context.retries.earn(shard.service)
-            self._send(shard)
+            pool = self._choose(shard)
+            if pool is not None:
+                self._send(shard, pool)
         self._is_starting = False
         if self._max_attempts > 1 and self._tick is None:
             self._schedule_tick(self._hedging.delay_ms)
@@ -136,11 +139,18 @@
 
     # Attempts
 
-    def _send(self, shard: _Shard) -> bool:
+    def _choose(self, shard: _Shard) -> ConnectionPool | None:
+        """Return where the next attempt goes; a hedge only where it starts at once.
+
+        When all replicas are busy, the first attempt waits in a queue and is not lost.
+        A second one would only make every queue longer.
+        """
+        return self._context.upstreams.choose(
+            shard.service, excluded=shard.tried, only_free=bool(shard.open)
+        )
+
+    def _send(self, shard: _Shard, pool: ConnectionPool) -> None:
         context = self._context
-        pool = context.upstreams.choose(shard.service, excluded=shard.tried)
-        if pool is None:
-            return False
 
         def on_done(
             attempt: Attempt, outcome: Outcome, response: UpstreamResponse | None
@@ -160,7 +170,6 @@
         shard.tried.append(pool.replica.upstream)
         shard.open.append(attempt)
         attempt.start()
-        return True
 
     def _encode(self, attempt: Attempt) -> bytes | None:
         if self._is_ended:
@@ -179,6 +188,14 @@
         is_first = not shard.open and not shard.may_have_run and not shard.rejected
         return is_first or self._context.retries.try_spend(shard.service)
 
+    def _send_again(self, shard: _Shard) -> bool:
+        """Send another attempt if there is an upstream for it and it is allowed."""
+        pool = self._choose(shard)
+        if pool is None or not self._may_send_again(shard):
+            return False
+        self._send(shard, pool)
+        return True
+
     def _schedule_tick(self, delay_ms: float) -> None:
         self._tick = self._loop.call_later(delay_ms / 1000, self._on_tick)
 
@@ -213,7 +230,7 @@
                 overdue += 1
         if overdue < len(shard.open):
             return False
-        return self._may_send_again(shard) and self._send(shard)
+        return self._send_again(shard)
 
     def _on_attempt_done(
         self,
@@ -233,8 +250,8 @@
             return
         if response is not None and outcome is Outcome.ANSWERED:
             shard.is_in = self._take_part(shard, response)
-        if not shard.is_in and self.retries and self._may_send_again(shard):
-            self._send(shard)
+        if not shard.is_in and self.retries:
+            self._send_again(shard)
         if not self._is_starting:
             self._on_progress()
 
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -14,6 +14,7 @@
     end_to_end,
     rejection,
 )
+from cuminbendd.entry._pool import ConnectionPool
 from cuminbendd.http1 import HttpRequest, HttpResponse, Responder, UpstreamResponse
 
 logger = logging.getLogger(__name__)
@@ -68,9 +69,11 @@
         context = self._context
         context.retries.earn(self._service)
         self._responder.on_abandoned = self._on_abandoned
-        if not self._send():
+        pool = self._choose()
+        if pool is None:
             self._reject("no_upstream")
             return
+        self._send(pool)
         left_ms = self._prepared.deadline_ms - context.clock.monotonic_ms()
         self._deadline = self._loop.call_later(
             max(0.0, left_ms - _DEADLINE_MARGIN_MS) / 1000, self._on_deadline
@@ -81,11 +84,14 @@
 
     # Attempts
 
-    def _send(self) -> bool:
+    def _choose(self) -> ConnectionPool | None:
+        """Return where the next attempt goes; a hedge only where it starts at once."""
+        return self._context.upstreams.choose(
+            self._service, excluded=self._tried, only_free=bool(self._open)
+        )
+
+    def _send(self, pool: ConnectionPool) -> None:
         context = self._context
-        pool = context.upstreams.choose(self._service, excluded=self._tried)
-        if pool is None:
-            return False
         attempt = Attempt(
             directory=context.upstreams,
             pool=pool,
@@ -99,6 +105,13 @@
         self._tried.append(pool.replica.upstream)
         self._open.append(attempt)
         attempt.start()
+
+    def _send_again(self) -> bool:
+        """Send another attempt if there is an upstream for it and it is allowed."""
+        pool = self._choose()
+        if pool is None or not self._may_send_again():
+            return False
+        self._send(pool)
         return True
 
     def _encode(self, attempt: Attempt) -> bytes | None:
@@ -123,7 +136,7 @@
             return
         for attempt in self._open:
             attempt.mark_overdue()
-        if self._may_send_again() and self._send():
+        if self._send_again():
             self._hedges += 1
             self._context.metrics.count("hedge")
             logger.info(
@@ -148,7 +161,7 @@
             return
         if outcome is Outcome.ERROR:
             self._last_error = response
-        if self._may_send_again() and self._send():
+        if self._send_again():
             return
         if not self._open:
             self._fail(outcome)
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -324,13 +324,18 @@
         return dict(places)
 
     def choose(
-        self, service: str, *, excluded: Collection[str] = ()
+        self,
+        service: str,
+        *,
+        excluded: Collection[str] = (),
+        only_free: bool = False,
     ) -> ConnectionPool | None:
         """Return the connections of the upstream that should get an attempt.
 
         Args:
             service: Whose upstreams to choose from.
             excluded: Upstreams that the request was sent to before.
+            only_free: Leave out upstreams at which it would wait.
 
         Returns:
             None if no upstream takes work from this instance now.
@@ -345,6 +350,7 @@
                 now_ms=now_ms,
                 excluded=(*excluded, *full) if full else excluded,
                 evacuated=self.evacuated,
+                only_free=only_free,
             )
             if replica is None:
                 break
@@ -352,6 +358,8 @@
             if pool.has_room:
                 return pool
             full.append(replica.upstream)
+        if only_free:
+            return None
         return self._choose_cold(group, now_ms, excluded)
 
     def _choose_cold(
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_fanout.py
@@ -228,3 +228,40 @@
         45, 6, size_bytes
     )
     assert slow.answer_by_ms(45, 6) == fast.answer_by_ms(45, 6)
+
+
+def test_shard_is_hedged_only_where_it_starts_at_once() -> None:
+    """Guards against hedges that wait in a second queue while all are busy."""
+    release = asyncio.Event()
+
+    async def slow(request: SeenRequest) -> bytes:
+        await release.wait()
+        return ok(request, b"1" * 16, b"slow")
+
+    async def busy(request: SeenRequest) -> bytes:
+        response = ok(request, b"2" * 16, b"busy")
+        return response.replace(b"\r\n", b"\r\nx-server-load: 2,1,2\r\n", 1)
+
+    async def test() -> None:
+        first, second = FakeUpstream("u1", "s", slow), FakeUpstream("u2", "s", busy)
+        route = {"shards": ("s",), "min_coverage": 1.0, "objective_ms": 100.0}
+        async with World(first, second, route=route) as world:
+            pools = world.entry._upstreams._pools
+            # The second one has just said that its slots are in use.
+            pools["u2"].replica.note_load(
+                running=2, queued=1, now_ms=world.entry._clock.monotonic_ms() + 1000
+            )
+            pools["u2"].replica.failure_rate = 1.0
+            asking = asyncio.ensure_future(world.ask())
+            await until(lambda: bool(first.seen))
+            await asyncio.sleep(0.15)
+            assert not second.seen
+            # Once it has a free slot the hedge goes out.
+            pools["u2"].replica.note_load(
+                running=0, queued=0, now_ms=world.entry._clock.monotonic_ms()
+            )
+            await until(lambda: bool(second.seen))
+            assert (await asking).status == 200
+            release.set()
+
+    run(test)
