Derive Retry-After from the queues, and let the urgent return first

Change: the time is when the first replica can start one more request: its back-off, its cold start, or the requests beyond its slots times the measured service time and its slowness. A fan-out takes the time of the last shard that it needs for minCoverage.

Ruled out: a queue at the entry instance.

--- a/packages/cuminbend/src/cuminbend/forwarding/__init__.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/__init__.py
@@ -14,6 +14,7 @@
     ReplicaGroup,
     ReplicaState,
 )
+from cuminbend.forwarding._retry_after import retry_after_ms, room_for_fan_out_ms
 from cuminbend.forwarding._retry_budgets import RetryBudgets, RetryBudgetSettings
 from cuminbend.forwarding._routes import (
     CallerLimits,
@@ -46,4 +47,6 @@
     "check_routing_table",
     "merge_greatest",
     "plan_fan_out",
+    "retry_after_ms",
+    "room_for_fan_out_ms",
 ]
--- a/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -164,6 +164,21 @@
             return True
         return not self.queued and self.running < self.slots
 
+    def ready_in_ms(self, *, now_ms: float, service_ms: float) -> float:
+        """Return the expected time until it can start on one more request.
+
+        Args:
+            now_ms: Monotonic time.
+            service_ms: Time that a request takes at a replica of usual speed.
+        """
+        is_fresh = now_ms - self.reported_ms < self.settings.load_fresh_ms
+        reported = self.running + self.queued if is_fresh else 0
+        excess = max(self.in_flight, reported) + 1 - self.slots
+        drain_ms = max(0, excess) / self.slots * service_ms * self.slowness
+        return max(
+            drain_ms, self.backoff_until_ms - now_ms, self.cold_until_ms - now_ms
+        )
+
     def score(self, now_ms: float, data_centre: str) -> float:
         """Return the expected cost of one more attempt; lower is better."""
         self._forget(now_ms)
@@ -270,6 +285,28 @@
             for replica in self.replicas
         )
 
+    def ready_in_ms(
+        self,
+        *,
+        now_ms: float,
+        service_ms: float,
+        evacuated: Collection[str] = (),
+    ) -> float | None:
+        """Return when the first replica can start on one more request.
+
+        Returns:
+            The expected time from now, or None if no replica is known to come.
+        """
+        return min(
+            (
+                max(0.0, item.ready_in_ms(now_ms=now_ms, service_ms=service_ms))
+                for item in self.replicas
+                if item.state is ReplicaState.READY
+                and item.data_centre not in evacuated
+            ),
+            default=None,
+        )
+
     def choose_cold(
         self,
         *,
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -11,6 +11,7 @@
     Part,
     Route,
     plan_fan_out,
+    room_for_fan_out_ms,
 )
 
 from cuminbendd.entry._delegation import Delegation, Peer
@@ -244,7 +245,9 @@
         """Answer a failure, as not run if no upstream can have run any part of it."""
         self._end()
         if not self._may_have_run():
-            response = rejection(retry_after_ms=self._retry_after_ms(cause))
+            response = rejection(
+                room_in_ms=self._room_in_ms(), priority=self._route.priority
+            )
         elif cause == "timeout":
             response = HttpResponse(HTTPStatus.GATEWAY_TIMEOUT, [])
         else:
@@ -256,10 +259,15 @@
             return True
         return self._fan_out.may_have_run or self._fallback.may_have_run
 
-    def _retry_after_ms(self, cause: str) -> float:
-        if cause == "too_few_upstreams":
-            return self._context.settings.no_upstream_retry_ms
-        return self._hedging.median_ms
+    def _room_in_ms(self) -> float:
+        """Return the expected time until enough shards can start on it."""
+        ready_in_ms = [
+            self._context.upstreams.ready_in_ms(
+                shard, service_ms=self._hedging.median_ms
+            )
+            for shard in self._route.shards
+        ]
+        return room_for_fan_out_ms(ready_in_ms, min_coverage=self._route.min_coverage)
 
     def _answer(self, response: HttpResponse, cause: str) -> None:
         self._responder.respond(response)
--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -11,6 +11,7 @@
     Route,
     RoutingTable,
     WeightedChoice,
+    retry_after_ms,
 )
 
 from cuminbendd.entry._attempts import Attempt
@@ -37,7 +38,8 @@
         b"upgrade",
     }
 )
-_MIN_RETRY_AFTER_MS = 30.0
+
+_rng = random.Random()
 
 
 def end_to_end(
@@ -167,15 +169,16 @@
         )
 
 
-def rejection(*, retry_after_ms: float) -> HttpResponse:
+def rejection(*, room_in_ms: float, priority: int = 0) -> HttpResponse:
     """Return the answer to a request that did not run and never will.
 
-    The time to come back is spread, so that callers rejected together do not return
-    together.
+    Args:
+        room_in_ms: Time until there is room for it.
+        priority: Rank of its route.
     """
-    spread_ms = max(retry_after_ms, _MIN_RETRY_AFTER_MS) * random.uniform(0.7, 1.5)
-    seconds = b"%.3f" % (spread_ms / 1000)
-    return HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE, [(b"Retry-After", seconds)])
+    after_ms = retry_after_ms(room_in_ms, priority=priority, rng=_rng)
+    headers = [(b"Retry-After", b"%.3f" % (after_ms / 1000))]
+    return HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE, headers)
 
 
 def deadline_of(request: HttpRequest, *, dialect: Dialect, route: Route) -> float:
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -186,7 +186,7 @@
                 "event=request_ended request=%s outcome=no_configuration status=503",
                 (request.header(context.dialect.request_id) or b"").decode("latin-1"),
             )
-            responder.respond(rejection(retry_after_ms=_NO_CONFIGURATION_RETRY_MS))
+            responder.respond(rejection(room_in_ms=_NO_CONFIGURATION_RETRY_MS))
             return
         host = (request.header(b"host") or b"").decode("latin-1")
         route = table.find(host, request.path)
--- a/packages/cuminbendd/src/cuminbendd/entry/_settings.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_settings.py
@@ -26,9 +26,8 @@
             it ends by itself within that time and keeps its connection.
         idle_connection_ms: Idle time after which a connection to an upstream that
             names no time-out is not used again.
-        no_upstream_retry_ms: Time to come back in, told to a caller whose request has
-            no upstream: about the time in which heartbeats or a new connection
-            bring one back.
+        no_upstream_retry_ms: Time in which a service without a known upstream is
+            expected to have one: about the time in which a heartbeat brings one back.
         cold_rate_per_s: Requests a second to a cold upstream that declares no rate.
         cold_safety: Share of a declared cold rate that is used; the rest covers a
             change of the instance that may use it.
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -191,10 +191,11 @@
             self._reject(str(outcome))
 
     def _reject(self, cause: str) -> None:
-        retry_after_ms = self._state.hedging.median_ms
-        if cause == "no_upstream":
-            retry_after_ms = self._context.settings.no_upstream_retry_ms
-        self._answer(rejection(retry_after_ms=retry_after_ms), f"rejected_{cause}")
+        room_in_ms = self._context.upstreams.ready_in_ms(
+            self._service, service_ms=self._state.hedging.median_ms
+        )
+        response = rejection(room_in_ms=room_in_ms, priority=self._route.priority)
+        self._answer(response, f"rejected_{cause}")
 
     def _on_deadline(self) -> None:
         if self._is_answered:
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -309,6 +309,18 @@
             evacuated=self.evacuated,
         )
 
+    def ready_in_ms(self, service: str, *, service_ms: float) -> float:
+        """Return the expected time until an upstream can start one more request."""
+        group = self._groups.get(service)
+        known_ms: float | None = None
+        if group is not None:
+            known_ms = group.ready_in_ms(
+                now_ms=self.clock.monotonic_ms(),
+                service_ms=service_ms,
+                evacuated=self.evacuated,
+            )
+        return self._settings.no_upstream_retry_ms if known_ms is None else known_ms
+
     def served(self) -> dict[str, int]:
         """Return the number of services with a ready upstream, by data centre."""
         places: Counter[str] = Counter()
