--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 
 import msgspec
+import pytest
 import uvloop
 from cuminbend.forwarding import merge_greatest
 
+from cuminbendd.entry import _delegation
 from cuminbendd.entry._delegation import Delegation, Peer
 from cuminbendd.entry._peers import Accepted, Delegate
 from cuminbendd.entry.tests._world import (
@@ -28,6 +30,12 @@
 ROUTE = {"shards": SHARDS, "top_k": 4, "min_coverage": 0.5, "objective_ms": 600.0}
 
 
+@pytest.fixture
+def patient(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Give helpers all the time that a loaded machine takes to start a task."""
+    monkeypatch.setattr(_delegation, "_ACCEPT_MARGIN_MS", 10_000.0)
+
+
 def record(value: int) -> bytes:
     return bytes([value]) * 16
 
@@ -99,6 +107,7 @@
         return lambda: len(counted)
 
 
+@pytest.mark.usefixtures("patient")
 def test_group_is_merged_by_the_helper() -> None:
     """Guards against parts lost or doubled on the way through another instance."""
 
@@ -116,6 +125,7 @@
     run(test)
 
 
+@pytest.mark.usefixtures("patient")
 def test_helper_answers_in_time_with_what_is_in() -> None:
     """Guards against a whole group that is missing because of one straggler."""
 
@@ -129,6 +139,7 @@
     run(test)
 
 
+@pytest.mark.usefixtures("patient")
 def test_late_parts_of_a_helper_still_count() -> None:
     """Guards against a failure where the coverage is reached after the objective."""
 
@@ -169,6 +180,7 @@
     run(test)
 
 
+@pytest.mark.usefixtures("patient")
 def test_group_of_a_helper_that_ends_is_not_asked_again() -> None:
     """Guards against three attempts at a shard that a helper had asked twice."""
 
@@ -280,6 +292,7 @@
     uvloop.run(test())
 
 
+@pytest.mark.usefixtures("patient")
 def test_cancelled_task_is_not_started() -> None:
     """Guards against requests that reach upstreams long after their caller left."""
 
