--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -31,6 +31,9 @@
 _DEADLINE_MARGIN_MS = 15.0
 # Signature of a part in an answer, with its separator.
 _STAMP_BYTES = 32
+# An event loop that runs late handles its timers before it reads. What other instances
+# sent in time may be waiting then, so it gets this long to be read.
+_READ_GRACE_MS = 1.0
 # Time kept for reading and merging what another instance sends at the last moment.
 _MERGE_MARGIN_MS = 1.5
 
@@ -224,8 +227,14 @@
             self._fail("too_few_parts")
 
     def _on_objective(self) -> None:
-        self._objective_passed = True
         self._fan_out.retries = self._fallback.retries = False
+        if any(delegation.is_open for delegation in self._delegations):
+            self._call_later(_READ_GRACE_MS, self._pass_objective)
+        else:
+            self._pass_objective()
+
+    def _pass_objective(self) -> None:
+        self._objective_passed = True
         self._answer_if_due()
 
     def _on_deadline(self) -> None:
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
@@ -14,7 +14,7 @@
 
 from cuminbendd.entry import _delegation
 from cuminbendd.entry._delegation import Delegation, Peer
-from cuminbendd.entry._peers import Accepted, Delegate
+from cuminbendd.entry._peers import Accepted, Delegate, Merged
 from cuminbendd.entry.tests._world import (
     FakeUpstream,
     SeenRequest,
@@ -32,8 +32,13 @@
 
 @pytest.fixture
 def patient(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Give helpers all the time that a loaded machine takes to start a task."""
+    """Give helpers all the time that a loaded machine takes.
+
+    A helper counts its time from when it reads the task, so one that reads it late
+    answers late. The round trip that it is given covers that here.
+    """
     monkeypatch.setattr(_delegation, "_ACCEPT_MARGIN_MS", 10_000.0)
+    monkeypatch.setattr(_delegation, "_INITIAL_ROUND_TRIP_MS", 300.0)
 
 
 def record(value: int) -> bytes:
@@ -245,16 +250,44 @@
     run(test)
 
 
-def accept_tasks(listener: socket.socket) -> None:
-    """Say of each task, from a thread of its own, that it was taken."""
+def accept_tasks(listener: socket.socket, answer: threading.Event) -> None:
+    """Take tasks in a thread of its own, and answer them all when told to."""
     connection, _ = listener.accept()
     decoder = msgspec.msgpack.Decoder(Delegate)
     with connection:
         while head := connection.recv(4, socket.MSG_WAITALL):
             (size,) = struct.unpack("<I", head)
             task = decoder.decode(connection.recv(size, socket.MSG_WAITALL))
-            content = msgspec.msgpack.encode(Accepted(task.task_id))
-            connection.sendall(struct.pack("<I", len(content)) + content)
+            send_message(connection, Accepted(task.task_id))
+            answer.wait(10)
+            stamps = {i: b"h%d" % i for i in range(len(task.shards))}
+            merged = Merged(task.task_id, stamps, record(9), True)
+            send_message(connection, merged)
+
+
+async def stall(duration_s: float, at_start: Callable[[], None]) -> None:
+    """Stand still in a reader of the event loop, which runs its timers next."""
+    ends = socket.socketpair()
+    stalled = asyncio.Event()
+
+    def on_readable() -> None:
+        ends[0].recv(1)
+        at_start()
+        time.sleep(duration_s)
+        stalled.set()
+
+    loop = asyncio.get_running_loop()
+    loop.add_reader(ends[0], on_readable)
+    ends[1].send(b"x")
+    await stalled.wait()
+    loop.remove_reader(ends[0])
+    for end in ends:
+        end.close()
+
+
+def send_message(connection: socket.socket, message: object) -> None:
+    content = msgspec.msgpack.encode(message)
+    connection.sendall(struct.pack("<I", len(content)) + content)
 
 
 def test_late_event_loop_reads_before_it_gives_a_helper_up() -> None:
@@ -262,8 +295,8 @@
 
     async def test() -> None:
         listener = socket.create_server(("127.0.0.1", 0))
-        thread = threading.Thread(target=accept_tasks, args=(listener,), daemon=True)
-        thread.start()
+        arguments = (listener, threading.Event())
+        threading.Thread(target=accept_tasks, args=arguments, daemon=True).start()
         address = f"127.0.0.1:{listener.getsockname()[1]}"
         info = EntryInfo(
             instance="e2", address="x:1", data_centre="b", helper_address=address
@@ -275,14 +308,17 @@
         delegation = Delegation(
             shards=("s",), on_merged=lambda *_: None, on_failed=failed.append
         )
-        peer.start(
-            delegation,
-            lambda task_id, round_trip_ms: Delegate(
-                task_id, b"id", b"", b"", ("s",), "r", 100.0, 100.0, 2, 4
-            ),
-        )
+
+        def start() -> None:
+            peer.start(
+                delegation,
+                lambda task_id, round_trip_ms: Delegate(
+                    task_id, b"id", b"", b"", ("s",), "r", 100.0, 100.0, 2, 4
+                ),
+            )
+
         # Longer than a task may take to be accepted.
-        time.sleep(0.2)  # noqa: ASYNC251
+        await stall(0.2, start)
         await until(lambda: delegation.is_accepted or bool(failed))
         assert not failed
         peer.close()
@@ -292,6 +328,45 @@
     uvloop.run(test())
 
 
+def test_late_event_loop_reads_before_it_answers_without_a_group() -> None:
+    """Guards against a group that is left out though it arrived in time."""
+
+    async def test() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        answer = threading.Event()
+        arguments = (listener, answer)
+        threading.Thread(target=accept_tasks, args=arguments, daemon=True).start()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        ups = [shard(index) for index in range(6)]
+        route = {**ROUTE, "objective_ms": 1000.0}
+        async with World(*ups, route=route, helper_address="127.0.0.1:0") as world:
+            info = EntryInfo(
+                instance="e2",
+                address="x:1",
+                data_centre="b",
+                helper_address=address,
+                is_active=True,
+            )
+            world.entry.on_update("c", Update(is_current=True, entries=(info,)))
+            for up in ups[3:]:
+                changes = {"sequence": 2, "incarnation_ms": 2, "data_centre": "b"}
+                world.announce(world.registration(up, **changes))
+            await until(lambda: bool(world.entry._peers.usable()))
+            asking = asyncio.ensure_future(world.ask())
+            await until(lambda: all(up.seen for up in ups[:3]))
+            await asyncio.sleep(0.1)
+            # The answer comes in time, while the event loop stands still past the
+            # objective.
+            await stall(1.2, answer.set)
+            found = await asking
+            assert found.status == 200
+            assert b"x-missing-parts" not in found.headers
+        listener.close()
+
+    # This event loop runs timers before it reads; the one of asyncio does not.
+    uvloop.run(test())
+
+
 @pytest.mark.usefixtures("patient")
 def test_cancelled_task_is_not_started() -> None:
     """Guards against requests that reach upstreams long after their caller left."""
