Reject a fan-out that cannot be answered in time before it is started

Cause: beyond what the searchers carry, every request is started, all queues fill, and no answer has its parts in time.

Change: the expected time is when the last shard that a success needs can start, from reported queues, own requests and back-offs, plus the time of attempts after which nothing waited. A rejected request has not run, and its Retry-After is the time until there is room. The decision is a pure function.

--- a/fakes/fanout_queues.py
+++ b/fakes/fanout_queues.py
@@ -10,7 +10,13 @@
 from collections import deque
 from collections.abc import Callable
 
-from cuminbend.forwarding import PlacementSettings, Replica, ReplicaGroup
+from cuminbend.forwarding import (
+    PlacementSettings,
+    Replica,
+    ReplicaGroup,
+    admission_chance,
+    room_for_fan_out_ms,
+)
 
 SHARDS = 10
 INSTANCES = 4
@@ -57,13 +63,22 @@
 
     Args:
         only_free: Whether hedges go only to replicas that can start at once.
+        admits_all: Whether requests are started that cannot be answered in time.
         utilization: Share of the slots that first attempts use; pauses take 4% more.
         seed: Decides arrivals, work and pauses.
     """
 
-    def __init__(self, *, only_free: bool, utilization: float, seed: int) -> None:
+    def __init__(
+        self,
+        *,
+        utilization: float,
+        seed: int,
+        only_free: bool = True,
+        admits_all: bool = True,
+    ) -> None:
         self.rng = random.Random(seed)
         self.only_free = only_free
+        self.admits_all = admits_all
         self.utilization = utilization
         self.now_ms = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -112,7 +127,24 @@
         self.after(self.rng.expovariate(per_ms), self._arrive)
         if self.now_ms < DURATION_MS - 1000:
             self.asked += 1
-            FanOut(self, self.rng.choice(self.views)).start()
+            view = self.rng.choice(self.views)
+            if self.admits_all or self._admits(view):
+                FanOut(self, view).start()
+
+    def _admits(self, view: list[ReplicaGroup]) -> bool:
+        ready_in_ms = [
+            group.ready_in_ms(now_ms=self.now_ms, service_ms=WORK_MS) or 0.0
+            for group in view
+        ]
+        chance = admission_chance(
+            room_in_ms=room_for_fan_out_ms(
+                ready_in_ms, min_coverage=MIN_PARTS / SHARDS
+            ),
+            service_ms=WORK_MS,
+            time_left_ms=OBJECTIVE_MS,
+            priority=0,
+        )
+        return self.rng.random() < chance
 
 
 class FanOut:
--- a/packages/cuminbend/src/cuminbend/forwarding/__init__.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Decisions about a request that is passed on to upstreams unchanged."""
 
+from cuminbend.forwarding._admission import admission_chance
 from cuminbend.forwarding._delegation import FanOutPlan, plan_fan_out
 from cuminbend.forwarding._gather import (
     RECORD_BYTES,
@@ -44,6 +45,7 @@
     "ServicePolicy",
     "WeightedChoice",
     "WeightedService",
+    "admission_chance",
     "check_routing_table",
     "merge_greatest",
     "plan_fan_out",
--- a/packages/cuminbend/src/cuminbend/forwarding/_hedging.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_hedging.py
@@ -17,6 +17,11 @@
 
     Args:
         objective_ms: Time within which the whole request should be answered.
+
+    Attributes:
+        median_ms: Median latency of an attempt.
+        service_ms: Mean latency of attempts after which nothing waited, so without
+            time in a queue.
     """
 
     QUANTILE = 0.92
@@ -24,6 +29,7 @@
     MAX_SHARE_OF_OBJECTIVE = 0.34
     DEFAULT_SHARE_OF_OBJECTIVE = 0.3
     MIN_MS = 2.0
+    SERVICE_WEIGHT = 0.05
 
     def __init__(self, *, objective_ms: float) -> None:
         self._latency = LatencyEstimate(window=512)
@@ -31,9 +37,17 @@
         self._count = 0
         self.delay_ms = self.DEFAULT_SHARE_OF_OBJECTIVE * objective_ms
         self.median_ms = 0.15 * objective_ms
+        self.service_ms = self.median_ms
+
+    def record(self, latency_ms: float, *, has_queue: bool = False) -> None:
+        """Note the latency of an attempt that was answered.
 
-    def record(self, latency_ms: float) -> None:
-        """Note the latency of an attempt that was answered."""
+        Args:
+            latency_ms: Time from sending to the whole answer.
+            has_queue: Whether other requests wait there, so that this one may have.
+        """
+        if not has_queue:
+            self.service_ms += self.SERVICE_WEIGHT * (latency_ms - self.service_ms)
         self._latency.record(latency_ms)
         self._count += 1
         if self._count >= _MIN_SAMPLES and self._count % _REFRESH_SAMPLES == 0:
--- a/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
@@ -147,7 +147,7 @@
             self._finish(Outcome.ERROR, response)
         else:
             latency_ms = now_ms - self.started_ms
-            self._hedging.record(latency_ms)
+            self._hedging.record(latency_ms, has_queue=self.replica.queued > 0)
             self.replica.note_answer(
                 latency_ms=latency_ms,
                 median_ms=self._hedging.median_ms,
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -10,6 +11,7 @@
     Gather,
     Part,
     Route,
+    admission_chance,
     plan_fan_out,
     room_for_fan_out_ms,
 )
@@ -100,6 +102,9 @@
         if not self._gather.can_succeed(sum(map(bool, places.values()))):
             self._fail("too_few_upstreams")
             return
+        if not self._is_admitted():
+            self._fail("overload")
+            return
         peers = self._context.peers
         plan = plan_fan_out(
             self._route.shards,
@@ -117,6 +122,16 @@
         self._arm_timers()
         self._answer_if_due()
 
+    def _is_admitted(self) -> bool:
+        """Return whether it can be answered in time, as far as the queues tell."""
+        chance = admission_chance(
+            room_in_ms=self._room_in_ms(),
+            service_ms=self._hedging.service_ms,
+            time_left_ms=self._answer_by_ms - self._context.clock.monotonic_ms(),
+            priority=self._route.priority,
+        )
+        return chance >= 1.0 or random.random() < chance
+
     def _arm_timers(self) -> None:
         now_ms = self._context.clock.monotonic_ms()
         deadline_ms = self._prepared.deadline_ms - _DEADLINE_MARGIN_MS
@@ -272,7 +287,7 @@
         """Return the expected time until enough shards can start on it."""
         ready_in_ms = [
             self._context.upstreams.ready_in_ms(
-                shard, service_ms=self._hedging.median_ms
+                shard, service_ms=self._hedging.service_ms
             )
             for shard in self._route.shards
         ]
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -192,7 +192,7 @@
 
     def _reject(self, cause: str) -> None:
         room_in_ms = self._context.upstreams.ready_in_ms(
-            self._service, service_ms=self._state.hedging.median_ms
+            self._service, service_ms=self._state.hedging.service_ms
         )
         response = rejection(room_in_ms=room_in_ms, priority=self._route.priority)
         self._answer(response, f"rejected_{cause}")
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_fanout.py
@@ -265,3 +265,22 @@
             release.set()
 
     run(test)
+
+
+def test_fan_out_that_cannot_be_in_time_is_rejected_before_anything_is_sent() -> None:
+    """Guards against work for answers that come too late for everybody."""
+
+    async def test() -> None:
+        upstreams = [shard(index) for index in range(4)]
+        async with World(*upstreams, route=ROUTE) as world:
+            now_ms = world.entry._clock.monotonic_ms()
+            for pool in world.entry._upstreams._pools.values():
+                # A report of the near future, so that it stays fresh.
+                pool.replica.note_load(running=2, queued=400, now_ms=now_ms + 60_000)
+            answer = await world.ask()
+            assert answer.status == 503
+            # 399 requests before it, two at a time, at 30 ms each at first.
+            assert float(answer.headers[b"retry-after"]) > 3.0
+            assert not any(up.seen for up in upstreams)
+
+    run(test)
