--- a/packages/cuminbendctl/src/cuminbendctl/_explain.py
+++ b/packages/cuminbendctl/src/cuminbendctl/_explain.py
@@ -33,6 +33,8 @@
     "no_route": "matched no route of the configuration",
     "no_configuration": "came before this instance had a configuration",
     "unsigned": "was answered by an upstream without a signature",
+    "overload": "was rejected before anything was sent: the queues of its shards were "
+    "too long for it to be in time",
     "rejected_no_upstream": "was rejected: no upstream of the service takes work",
     "rejected_not_run": "was rejected: every upstream that was asked refused it",
     "rejected_deadline": "was rejected at its deadline; nothing had been sent",
