Prove the bound on cold upstreams over eight instances

Without the check of the owner all eight instances send (the test then counts eight attempts instead of one).

--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_cold.py
@@ -0,0 +1,131 @@
+"""Tests of work for cold upstreams, whose bound is on the sum over all instances."""
+
+from dataclasses import replace
+
+import pytest
+from cuminbend.forwarding import Route, RoutingTable, ServicePolicy
+from cuminbend.registry import Registration, UpstreamState
+
+from cuminbendd.entry import Dialect, EntrySettings
+from cuminbendd.entry._upstreams import UpstreamDirectory
+from cuminbendd.metrics import Metrics
+
+NAMES = tuple(f"entry-{number}" for number in range(8))
+UPSTREAMS = tuple(f"u{number}" for number in range(30))
+
+
+class FakeClock:
+    """A clock that tests move."""
+
+    def __init__(self) -> None:
+        self.now_ms = 1000.0
+
+    def monotonic_ms(self) -> float:
+        return self.now_ms
+
+
+def registration(upstream: str, **changes: object) -> Registration:
+    fields: dict[str, object] = {
+        "upstream": upstream,
+        "service": f"service-{upstream}",
+        "address": "127.0.0.1:9",
+        "data_centre": "a",
+        "slots": 2,
+        "state": UpstreamState.READY,
+        "cold_left_ms": 60_000.0,
+        "incarnation_ms": 1,
+        "sequence": 1,
+        "holder": "c",
+    }
+    return Registration(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def directory(name: str, clock: FakeClock, rate_per_s: float) -> UpstreamDirectory:
+    found = UpstreamDirectory(
+        settings=EntrySettings(
+            instance=name,
+            data_centre="a",
+            caller_address="127.0.0.1:9",
+            control_addresses=(),
+        ),
+        clock=clock,  # type: ignore[arg-type]
+        dialect=Dialect(),
+        metrics=Metrics(),
+    )
+    services = {
+        f"service-{upstream}": ServicePolicy(
+            name=f"service-{upstream}",
+            max_connections=30,
+            cold_start_s=3.0,
+            cold_rate_per_s=rate_per_s,
+        )
+        for upstream in UPSTREAMS
+    }
+    route = Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        idempotent=True,
+        timeout_ms=1000.0,
+        objective_ms=100.0,
+        max_attempts=2,
+        shards=tuple(services),
+    )
+    found.set_table(RoutingTable(version=1, routes=(route,), services=services))
+    found.set_entries(dict.fromkeys(NAMES, "a"))
+    found.merge(map(registration, UPSTREAMS), is_full=True)
+    return found
+
+
+def sent(directories: list[UpstreamDirectory]) -> dict[str, int]:
+    """Ask every instance for every upstream once; count the attempts it allows."""
+    return {
+        upstream: sum(
+            item.choose(f"service-{upstream}") is not None for item in directories
+        )
+        for upstream in UPSTREAMS
+    }
+
+
+def test_one_instance_sends_to_a_cold_upstream() -> None:
+    """Guards against instances that each keep the bound and break it together."""
+    clock = FakeClock()
+    directories = [directory(name, clock, 0.0) for name in NAMES]
+    assert set(sent(directories).values()) == {1}
+    # A second one has to wait for its rate.
+    assert set(sent(directories).values()) == {0}
+    owners = [
+        sum(item._owns_cold(upstream) for upstream in UPSTREAMS) for item in directories
+    ]
+    assert sum(owners) == len(UPSTREAMS)
+    assert max(owners) < len(UPSTREAMS) / 2
+
+
+@pytest.mark.parametrize(("rate_per_s", "allowed"), [(0.0, 1.0), (8.0, 4.0)])
+def test_cold_upstream_gets_no_more_than_its_rate(
+    rate_per_s: float, allowed: float
+) -> None:
+    """Guards against more than a cold upstream bears, with a margin for a new owner."""
+    clock = FakeClock()
+    directories = [directory(name, clock, rate_per_s) for name in NAMES]
+    sent(directories)
+    total = 0
+    for _ in range(1000):
+        clock.now_ms += 10.0
+        total += sent(directories)["u0"]
+    assert total <= 10 * allowed + 1
+
+
+def test_upstream_that_turns_cold_again_is_held_back() -> None:
+    """Guards against full load for an upstream that said that it is cold again."""
+    clock = FakeClock()
+    directories = [directory(name, clock, 0.0) for name in NAMES]
+    news = [registration(u, cold_left_ms=0.0, sequence=2) for u in UPSTREAMS]
+    for item in directories:
+        item._policies.clear()
+        item.merge(news, is_full=False)
+    assert set(sent(directories).values()) == {len(NAMES)}
+    cold = [replace(r, cold_left_ms=3000.0, sequence=3) for r in news]
+    for item in directories:
+        item.merge(cold, is_full=False)
+    assert set(sent(directories).values()) == {1}
