Choose an upstream only for an attempt that is allowed

Found reading the change as a whole. Whether a further attempt is allowed was written twice, for shards and for single requests, with the same constant. And since hedges go to free replicas only, the upstream was chosen before the limits and the retry budget were looked at: placement ran for attempts that were not sent, and the choice of a cold upstream used up its rate for them.

Change: AttemptCounts in the library holds the rule; both callers check it and the budget, then choose, then spend. No limit changes.

Before: the new test sees a second choice.

--- a/packages/cuminbend/src/cuminbend/budgets/_tokens.py
+++ b/packages/cuminbend/src/cuminbend/budgets/_tokens.py
@@ -33,9 +33,14 @@
         """Record ``count`` units of regular work."""
         self._tokens = min(self.burst, self._tokens + self.ratio * count)
 
+    @property
+    def has_token(self) -> bool:
+        """Whether a token can be spent."""
+        return self._tokens >= 1 - _ROUNDING
+
     def try_spend(self) -> bool:
         """Spend one token and return True, or return False if there is none."""
-        if self._tokens < 1 - _ROUNDING:
+        if not self.has_token:
             return False
         self._tokens = max(0.0, self._tokens - 1)
         return True
--- a/packages/cuminbend/src/cuminbend/forwarding/__init__.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """Decisions about a request that is passed on to upstreams unchanged."""
 
 from cuminbend.forwarding._admission import admission_chance
+from cuminbend.forwarding._attempt_counts import AttemptCounts
 from cuminbend.forwarding._delegation import FanOutPlan, plan_fan_out
 from cuminbend.forwarding._gather import (
     RECORD_BYTES,
@@ -29,6 +30,7 @@
 
 __all__ = [
     "RECORD_BYTES",
+    "AttemptCounts",
     "CallerLimits",
     "FanOutPlan",
     "Gather",
--- a/packages/cuminbend/src/cuminbend/forwarding/_retry_budgets.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_retry_budgets.py
@@ -49,6 +49,10 @@
         """Note a request for a service."""
         self._of(service).earn()
 
+    def has_token(self, service: str) -> bool:
+        """Return whether one extra attempt is allowed."""
+        return self._of(service).has_token
+
     def try_spend(self, service: str) -> bool:
         """Return whether one extra attempt is allowed, and count it."""
         return self._of(service).try_spend()
--- a/packages/cuminbendd/src/cuminbendd/entry/_shards.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_shards.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from cuminbend.forwarding import HedgeDelay, Part
+from cuminbend.forwarding import AttemptCounts, HedgeDelay, Part
 
 from cuminbendd.entry._attempts import Attempt, Outcome
 from cuminbendd.entry._forwarding import ForwardingContext, PreparedRequest
@@ -15,8 +15,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Rejections by full upstreams that are tried elsewhere beyond the attempts allowed.
-_MAX_REJECTED = 2
 # Attempts sent after the first round are looked at again after this share of the
 # hedge delay.
 _TICK_SHARE = 0.5
@@ -30,8 +28,7 @@
     service: str
     tried: list[str] = field(default_factory=list)
     open: list[Attempt] = field(default_factory=list)
-    may_have_run: int = 0
-    rejected: int = 0
+    counts: AttemptCounts = field(default_factory=AttemptCounts)
     is_in: bool = False
 
 
@@ -103,7 +100,7 @@
         """Return whether a shard without an attempt can get another one in time."""
         if not self.retries or self._is_ended:
             return False
-        if shard.rejected > _MAX_REJECTED or shard.may_have_run >= self._max_attempts:
+        if not shard.counts.allows_another(running=0, max_attempts=self._max_attempts):
             return False
         return self._context.upstreams.takes_work_by(
             shard.service, by_ms=self._retry_until_ms, excluded=shard.tried
@@ -112,7 +109,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream may have run the request, or may run it now."""
-        return any(shard.may_have_run or shard.open for shard in self._shards)
+        return any(shard.counts.may_have_run or shard.open for shard in self._shards)
 
     def missing(self) -> list[str]:
         """Return the shards that are not in, each with the upstreams it was sent to."""
@@ -176,23 +173,30 @@
             return None
         return self._prepared.encode(attempt, self._context.clock.monotonic_ms())
 
-    def _may_send_again(self, shard: _Shard) -> bool:
-        """Return whether another attempt is allowed, and book it."""
-        if shard.rejected > _MAX_REJECTED:
-            return False
-        if shard.may_have_run + len(shard.open) >= self._max_attempts:
+    def _send_again(self, shard: _Shard) -> bool:
+        """Send another attempt if it is allowed and there is an upstream for it.
+
+        The upstream is chosen last, because the choice of a cold one uses up its rate.
+        """
+        running = len(shard.open)
+        if not shard.counts.allows_another(
+            running=running, max_attempts=self._max_attempts
+        ):
             return False
         if self._context.clock.monotonic_ms() < self._again_from_ms:
             return False
         # The first arrival at each shard is not extra.
-        is_first = not shard.open and not shard.may_have_run and not shard.rejected
-        return is_first or self._context.retries.try_spend(shard.service)
-
-    def _send_again(self, shard: _Shard) -> bool:
-        """Send another attempt if there is an upstream for it and it is allowed."""
+        retries, is_extra = (
+            self._context.retries,
+            shard.counts.is_extra(running=running),
+        )
+        if is_extra and not retries.has_token(shard.service):
+            return False
         pool = self._choose(shard)
-        if pool is None or not self._may_send_again(shard):
+        if pool is None:
             return False
+        if is_extra:
+            retries.try_spend(shard.service)
         self._send(shard, pool)
         return True
 
@@ -241,11 +245,11 @@
     ) -> None:
         shard.open.remove(attempt)
         if outcome is Outcome.NOT_RUN:
-            shard.rejected += 1
+            shard.counts.rejected += 1
             # It did not run there, so it may be sent there again after a pause.
             shard.tried.remove(attempt.replica.upstream)
         else:
-            shard.may_have_run += 1
+            shard.counts.may_have_run += 1
         if self._is_ended or shard.is_in:
             return
         if response is not None and outcome is Outcome.ANSWERED:
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -4,7 +4,7 @@
 import logging
 from http import HTTPStatus
 
-from cuminbend.forwarding import Route
+from cuminbend.forwarding import AttemptCounts, Route
 
 from cuminbendd.entry._attempts import Attempt, Outcome
 from cuminbendd.entry._forwarding import (
@@ -21,9 +21,6 @@
 
 # The answer at the deadline leaves this long before it, so that it still counts.
 _DEADLINE_MARGIN_MS = 15.0
-# Rejections by full upstreams that are tried elsewhere beyond the attempts allowed;
-# they did not run, but they count against the retry budget.
-_MAX_REJECTED = 2
 
 
 class SingleRequest:
@@ -50,8 +47,7 @@
         self._loop = asyncio.get_running_loop()
         self._tried: list[str] = []
         self._open: list[Attempt] = []
-        self._may_have_run = 0
-        self._rejected = 0
+        self._counts = AttemptCounts()
         self._hedges = 0
         self._is_answered = False
         self._last_error: UpstreamResponse | None = None
@@ -107,10 +103,23 @@
         attempt.start()
 
     def _send_again(self) -> bool:
-        """Send another attempt if there is an upstream for it and it is allowed."""
+        """Send another attempt if it is allowed and there is an upstream for it.
+
+        The upstream is chosen last, because the choice of a cold one uses up its rate.
+        """
+        if not self._counts.allows_another(
+            running=len(self._open),
+            max_attempts=self._route.max_attempts,
+            is_idempotent=self._route.idempotent,
+        ):
+            return False
+        retries = self._context.retries
+        if not retries.has_token(self._service):
+            return False
         pool = self._choose()
-        if pool is None or not self._may_send_again():
+        if pool is None:
             return False
+        retries.try_spend(self._service)
         self._send(pool)
         return True
 
@@ -120,17 +129,6 @@
         now_ms = self._context.clock.monotonic_ms()
         return self._prepared.encode(attempt, now_ms)
 
-    def _may_send_again(self) -> bool:
-        """Return whether another attempt is allowed, and book it."""
-        if self._rejected > _MAX_REJECTED:
-            return False
-        if self._may_have_run and not self._route.idempotent:
-            return False
-        running = self._may_have_run + len(self._open)
-        if running >= self._route.max_attempts:
-            return False
-        return self._context.retries.try_spend(self._service)
-
     def _on_hedge_delay(self) -> None:
         if self._is_answered:
             return
@@ -151,9 +149,9 @@
     ) -> None:
         self._open.remove(attempt)
         if outcome is Outcome.NOT_RUN:
-            self._rejected += 1
+            self._counts.rejected += 1
         else:
-            self._may_have_run += 1
+            self._counts.may_have_run += 1
         if self._is_answered:
             return
         if outcome is Outcome.ANSWERED and response is not None:
@@ -185,7 +183,7 @@
             error = self._last_error
             headers = end_to_end(error.headers, dropped=(self._context.dialect.load,))
             self._answer(HttpResponse(error.status, headers, error.body), "error")
-        elif self._may_have_run:
+        elif self._counts.may_have_run:
             self._answer(HttpResponse(HTTPStatus.BAD_GATEWAY, []), "lost")
         else:
             self._reject(str(outcome))
@@ -201,7 +199,7 @@
         if self._is_answered:
             return
         self._end()
-        if not self._may_have_run and not self._open:
+        if not self._counts.may_have_run and not self._open:
             self._reject("deadline")
         else:
             self._answer(HttpResponse(HTTPStatus.GATEWAY_TIMEOUT, []), "timeout")
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_fanout.py
@@ -284,3 +284,29 @@
             assert not any(up.seen for up in upstreams)
 
     run(test)
+
+
+def test_no_upstream_is_chosen_for_an_attempt_that_is_not_allowed() -> None:
+    """Guards against the rate of a cold upstream spent on an attempt never sent."""
+
+    async def fails(request: SeenRequest) -> bytes:
+        return status(500)
+
+    async def test() -> None:
+        upstreams = [FakeUpstream(f"u{i}", "s", fails) for i in range(2)]
+        route = {"shards": ("s",), "min_coverage": 1.0, "objective_ms": 100.0}
+        async with World(*upstreams, route=route) as world:
+            directory = world.entry._upstreams
+            world.entry._retries.has_token = lambda service: False  # type: ignore[method-assign]
+            chosen: list[str] = []
+            choose = directory.choose
+
+            def counted(service: str, **options: object) -> object:
+                chosen.append(service)
+                return choose(service, **options)  # type: ignore[arg-type]
+
+            directory.choose = counted  # type: ignore[assignment, method-assign]
+            assert (await world.ask()).status == 502
+            assert chosen == ["s"]
+
+    run(test)
