Do the work of news, admission and handover once

Found reading the change as a whole: - A rejected fan-out worked out its queues twice, reading the clock for each shard; a single request and a fan-out prepared themselves with the same lines. - Every busy mark of any entry instance ranked all instances and resized the pools of all upstreams, though limits depend on who is there alone. - What counts as news listed the fields of an update by hand; it is what differs from a heartbeat. - Whether a sender was ever in touch was kept on the client and reset for each stream; it belongs to the stream. - Two programs logged the end of a handover themselves; Replica.retire does. It says nothing else now, so its tests ask who leads instead of what it returned.

Ruled out, looked at and left: is_free and ready_in_ms both read the reported load, but a queue beside a free slot means a pause for the first and no wait for the second; a configuration is compressed in the log and again in its frame, once for each change and reader.

Test: a busy mark divides no limits (four updates, two divisions).

--- a/packages/cuminbend/src/cuminbend/consensus/_replica.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_replica.py
@@ -198,17 +198,24 @@
         leadership = self._current_leadership()
         return await leadership.transfer() if leadership else False
 
-    async def retire(self, *, limit_ms: float) -> bool:
+    async def retire(self, *, limit_ms: float) -> None:
         """Prepare for a planned stop: hand over, and stand back in later elections.
 
         Args:
             limit_ms: Time after which it gives up.
-
-        Returns:
-            Whether another voter leads.
         """
+        self._core.is_retired = True
+        succeeded = await self._hand_over(limit_ms)
+        logger.info(
+            "event=leadership_handed_over instance=%s succeeded=%s leader=%s",
+            self._settings.instance,
+            succeeded,
+            self.leader,
+        )
+
+    async def _hand_over(self, limit_ms: float) -> bool:
+        """Return whether another voter leads within ``limit_ms``."""
         core = self._core
-        core.is_retired = True
         if self.voters == (core.me,):
             return False
         deadline_ms = self._clock.monotonic_ms() + limit_ms
@@ -216,9 +223,7 @@
             if self.is_leader:
                 await self.transfer_leadership()
             wait_ms = min(left_ms, self._settings.election_timeout_max_ms)
-            await core.wait_until(
-                lambda: core.leader is not None or self.is_leader, wait_ms
-            )
+            await core.wait_until(lambda: core.leader is not None, wait_ms)
             if core.leader not in (None, self._settings.instance):
                 return True
             # A transfer without a successor fails at once.
--- a/packages/cuminbendd/src/cuminbendd/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/_instance.py
@@ -297,8 +297,7 @@
 
     async def _retire_voter(self) -> None:
         if self._voter is not None:
-            succeeded = await self._voter.replica.retire(limit_ms=HAND_OVER_LIMIT_MS)
-            logger.info("event=leadership_handed_over succeeded=%s", succeeded)
+            await self._voter.replica.retire(limit_ms=HAND_OVER_LIMIT_MS)
 
     def dump(self) -> dict[str, Any]:
         """Return what this process believes, and since when."""
--- a/packages/cuminbendd/src/cuminbendd/control/_group.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_group.py
@@ -245,8 +245,7 @@
 
     async def hand_over(self) -> None:
         """Hand the leadership over before this instance stops."""
-        succeeded = await self.replica.retire(limit_ms=_HAND_OVER_LIMIT_MS)
-        logger.info("event=leadership_handed_over succeeded=%s", succeeded)
+        await self.replica.retire(limit_ms=_HAND_OVER_LIMIT_MS)
 
     def close(self) -> None:
         """Close the connections to other members."""
--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -110,6 +110,13 @@
         state = self._states.get(route)
         return state.hedging if state else None
 
+    def prepare(self, request: HttpRequest, route: Route) -> "PreparedRequest":
+        """Return a caller's request as upstreams get it."""
+        deadline_ms = deadline_of(request, dialect=self.dialect, route=route)
+        return PreparedRequest.of(
+            request, dialect=self.dialect, deadline_ms=deadline_ms
+        )
+
     def state_of(self, route: Route) -> RouteState:
         """Return what is known about a route of the configuration in force."""
         return self._states[route.name]
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -302,9 +302,11 @@
                 logger.info("event=evacuated data_centres=%s", sorted(evacuated))
             self._upstreams.set_evacuated(evacuated)
         if update.entries is not None:
-            self._entries = update.entries
+            former, self._entries = _places(self._entries), update.entries
             self._peers.set_entries(update.entries)
-            self._share_limits()
+            # Most changes are busy marks, and limits depend on who is there alone.
+            if _places(update.entries) != former:
+                self._share_limits()
         if update.registrations or update.is_full:
             self._upstreams.merge(update.registrations, is_full=update.is_full)
 
@@ -314,9 +316,7 @@
     def _share_limits(self) -> None:
         """Divide what upstreams take among the entry instances in the directory."""
         was_active = self._upstreams.is_active
-        self._upstreams.set_entries(
-            {entry.instance: entry.data_centre for entry in self._entries}
-        )
+        self._upstreams.set_entries(_places(self._entries))
         self._retries.resize(self._upstreams.instances)
         if self._upstreams.is_active != was_active:
             logger.info(
@@ -344,3 +344,8 @@
         self._upstreams.set_table(table)
         self._share_limits()
         self._feed.notify()
+
+
+def _places(entries: tuple[EntryInfo, ...]) -> dict[str, str]:
+    """Return the data centre of each entry instance."""
+    return {entry.instance: entry.data_centre for entry in entries}
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -9,8 +9,6 @@
 from cuminbendd.entry._attempts import Attempt, Outcome
 from cuminbendd.entry._forwarding import (
     ForwardingContext,
-    PreparedRequest,
-    deadline_of,
     end_to_end,
     rejection,
 )
@@ -39,11 +37,7 @@
         self._responder = responder
         self._received_ms = request.received_ms
         self._state = context.state_of(route)
-        self._prepared = PreparedRequest.of(
-            request,
-            dialect=context.dialect,
-            deadline_ms=deadline_of(request, dialect=context.dialect, route=route),
-        )
+        self._prepared = context.prepare(request, route)
         self._loop = asyncio.get_running_loop()
         self._tried: list[str] = []
         self._open: list[Attempt] = []
@@ -189,8 +183,8 @@
             self._reject(str(outcome))
 
     def _reject(self, cause: str) -> None:
-        room_in_ms = self._context.upstreams.ready_in_ms(
-            self._service, service_ms=self._state.hedging.service_ms
+        (room_in_ms,) = self._context.upstreams.ready_in_ms(
+            [self._service], service_ms=self._state.hedging.service_ms
         )
         response = rejection(room_in_ms=room_in_ms, priority=self._route.priority)
         self._answer(response, f"rejected_{cause}")
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -309,17 +309,20 @@
             evacuated=self.evacuated,
         )
 
-    def ready_in_ms(self, service: str, *, service_ms: float) -> float:
-        """Return the expected time until an upstream can start one more request."""
-        group = self._groups.get(service)
-        known_ms: float | None = None
-        if group is not None:
-            known_ms = group.ready_in_ms(
-                now_ms=self.clock.monotonic_ms(),
-                service_ms=service_ms,
-                evacuated=self.evacuated,
-            )
-        return self._settings.no_upstream_retry_ms if known_ms is None else known_ms
+    def ready_in_ms(self, services: Iterable[str], *, service_ms: float) -> list[float]:
+        """Return the expected time until each service can start one more request."""
+        now_ms = self.clock.monotonic_ms()
+        unknown_ms = self._settings.no_upstream_retry_ms
+        times_ms = []
+        for service in services:
+            group = self._groups.get(service)
+            known_ms = None
+            if group is not None:
+                known_ms = group.ready_in_ms(
+                    now_ms=now_ms, service_ms=service_ms, evacuated=self.evacuated
+                )
+            times_ms.append(unknown_ms if known_ms is None else known_ms)
+        return times_ms
 
     def served(self) -> dict[str, int]:
         """Return the number of services with a ready upstream, by data centre."""
--- a/packages/cuminbendd/src/cuminbendd/feed/_client.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_client.py
@@ -52,11 +52,16 @@
 
 
 class _UpdateStream:
-    """Updates of one sender, with its changes of the directory put together."""
+    """Updates of one sender, with its changes of the directory put together.
+
+    Attributes:
+        was_current: Whether the sender has been in touch with its group.
+    """
 
     def __init__(self, *, address: str, frames: FrameStream) -> None:
         self.address = address
         self.frames = frames
+        self.was_current = False
         self._entries: dict[str, EntryInfo] = {}
 
     async def read(self) -> Update:
@@ -70,6 +75,7 @@
             _, update = await self.frames.read()
         if not isinstance(update, Update):
             raise ChannelError(f"{self.address} sent no update")
+        self.was_current = self.was_current or update.is_current
         if update.entries is None:
             return update
         self._entries.update({entry.instance: entry for entry in update.entries})
@@ -117,7 +123,6 @@
         self._preferred = preferred
         self._needs_current = needs_current
         self._status_due = asyncio.Event()
-        self._has_joined = False
         self.source: str | None = None
 
     def notify(self) -> None:
@@ -146,15 +151,14 @@
 
     async def _read_from(self, address: str) -> str | None:
         """Read a sender and its successors; return the one that was joined and lost."""
-        joined: str | None = None
+        lost: str | None = None
         stream = await self._open(address)
         while stream is not None:
-            self._has_joined = False
-            following = stream
-            stream = await self._follow(following)
-            if self._has_joined or stream is not None:
-                joined = following.address
-        return joined
+            successor = await self._follow(stream)
+            if stream.was_current:
+                lost = stream.address
+            stream = successor
+        return lost
 
     async def _open(self, address: str) -> _UpdateStream | None:
         try:
@@ -208,10 +212,9 @@
         while True:
             update = await stream.read()
             now_ms = self._clock.monotonic_ms()
-            limit_ms = _STALE_MS if self._has_joined else _NEVER_CURRENT_MS
+            limit_ms = _STALE_MS if stream.was_current else _NEVER_CURRENT_MS
             if update.is_current:
                 current_ms = now_ms
-                self._has_joined = True
             elif self._needs_current and now_ms - current_ms > limit_ms:
                 raise _StaleError(
                     f"{stream.address} is not in touch with the control group"
--- a/packages/cuminbendd/src/cuminbendd/feed/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_server.py
@@ -227,12 +227,5 @@
 
 def _is_news(update: Update, was_current: bool) -> bool:
     """Return whether an update says more than that its sender is there."""
-    return (
-        update.is_full
-        or update.is_current != was_current
-        or bool(update.registrations)
-        or update.content is not None
-        or update.evacuated is not None
-        or update.entries is not None
-        or update.controls is not None
-    )
+    heartbeat = Update(is_current=was_current, version=update.version)
+    return update != heartbeat
