--- a/packages/cuminbend/src/cuminbend/consensus/_leadership.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_leadership.py
@@ -4,7 +4,6 @@
 import math
 from collections import deque
 from contextlib import suppress
-from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 
 import anyio
@@ -21,6 +20,8 @@
     TimeoutNowRequest,
     Voter,
 )
+from cuminbend.consensus._progress import Peer, Progress
+from cuminbend.consensus._voter_changes import next_voters
 from cuminbend.exceptions import (
     CuminbendError,
     DiskError,
@@ -32,43 +33,9 @@
 logger = logging.getLogger(__name__)
 
 _IDLE_MS = 60_000
-# Below four voters, removing one would leave a number that survives no loss.
-_MIN_VOTERS_TO_REMOVE = 4
 _EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 
 
-@dataclass(slots=True)
-class Peer:
-    """What the leader knows of another instance.
-
-    Attributes:
-        disk_id: Disk that the instance reported last; empty before the first reply.
-        match_index: Last entry known to be on that disk.
-        acknowledged_ms: When the latest message that it answered was sent.
-        failing: Whether the last message got no answer. The next one is a heartbeat
-            then: a peer that is busy writing answers it, and one that is gone costs
-            little.
-    """
-
-    instance: str
-    next_index: int
-    disk_id: str = ""
-    match_index: int = 0
-    acknowledged_ms: float = -math.inf
-    last_contact_ms: float = -math.inf
-    round: int = 0
-    failing: bool = False
-
-    def note_reply(self, disk_id: str, *, sent_ms: float, now_ms: float) -> None:
-        """Note an answer in the leader's term; another disk starts from nothing."""
-        if disk_id != self.disk_id:
-            self.disk_id = disk_id
-            self.match_index = 0
-            self.acknowledged_ms = -math.inf
-        self.acknowledged_ms = max(self.acknowledged_ms, sent_ms)
-        self.last_contact_ms = now_ms
-
-
 class Leadership:
     """One term of leadership; all methods are for use while it lasts."""
 
@@ -77,6 +44,7 @@
         self._storage = core.storage
         self.term = core.storage.term
         self.peers: dict[str, Peer] = {}
+        self._progress = Progress(core, self.peers)
         self._pending: deque[Proposal] = deque([Proposal("noop", b"")])
         self._first_index = core.storage.last_index + 1
         self._started_ms = core.clock.monotonic_ms()
@@ -218,25 +186,6 @@
 
     # Commit and confirmation
 
-    def _match_index(self, voter: Voter) -> int:
-        if voter == self._core.me:
-            return self._storage.last_index
-        peer = self.peers.get(voter.instance)
-        return peer.match_index if peer and peer.disk_id == voter.disk_id else 0
-
-    def _acknowledged_ms(self, voter: Voter) -> float:
-        if voter == self._core.me:
-            return self._core.clock.monotonic_ms()
-        peer = self.peers.get(voter.instance)
-        if peer is None or peer.disk_id != voter.disk_id:
-            return -math.inf
-        return peer.acknowledged_ms
-
-    def _majority_acknowledged_ms(self, voters: tuple[Voter, ...]) -> float:
-        """Return when the latest messages that a majority answered were sent."""
-        times = sorted(map(self._acknowledged_ms, voters), reverse=True)
-        return times[majority(len(times)) - 1]
-
     def _advance_commit(self) -> None:
         """Commit what a majority has on disk.
 
@@ -245,7 +194,7 @@
         leader even though a majority has it.
         """
         voters = self._storage.voters
-        indexes = sorted(map(self._match_index, voters), reverse=True)
+        indexes = sorted(map(self._progress.match_index, voters), reverse=True)
         index = indexes[majority(len(indexes)) - 1]
         if self.active and self._storage.term_at(index) == self.term:
             self._core.advance_commit(index)
@@ -259,7 +208,7 @@
         """Return when the last round that a majority acknowledged was started."""
         if not self.established:
             return None
-        confirmed_ms = self._majority_acknowledged_ms(self._storage.voters)
+        confirmed_ms = self._progress.majority_acknowledged_ms(self._storage.voters)
         return confirmed_ms if confirmed_ms > -math.inf else None
 
     # Replication, one task per peer
@@ -286,7 +235,7 @@
     def _check_majority(self) -> None:
         """Step down if no majority has answered for an election timeout."""
         core = self._core
-        confirmed_ms = self._majority_acknowledged_ms(self._storage.voters)
+        confirmed_ms = self._progress.majority_acknowledged_ms(self._storage.voters)
         silent_ms = core.clock.monotonic_ms() - max(confirmed_ms, self._started_ms)
         if silent_ms > core.settings.election_timeout_max_ms and self.active:
             logger.warning(
@@ -476,11 +425,7 @@
             return None
         if any(proposal.kind == "voters" for proposal in self._pending):
             return None
-        return (
-            self._superseded_removed()
-            or self._unreachable_removed()
-            or self._caught_up_added()
-        )
+        return next_voters(self._progress, led_since_ms=self._started_ms)
 
     def _propose_voters(self, voters: tuple[Voter, ...]) -> None:
         logger.info(
@@ -492,61 +437,6 @@
         self._pending.append(Proposal("voters", encode_voters(voters)))
         self._core.notify()
 
-    def _superseded_removed(self) -> tuple[Voter, ...] | None:
-        """Return the voters without one disk that its instance no longer has."""
-        voters = self._storage.voters
-        current = {self._core.me}
-        current.update(Voter(p.instance, p.disk_id) for p in self.peers.values())
-        replaced = {v.instance for v in voters if v in current}
-        for voter in voters:
-            if voter.instance in replaced and voter not in current:
-                return tuple(v for v in voters if v != voter)
-        return None
-
-    def _unreachable_removed(self) -> tuple[Voter, ...] | None:
-        """Return the voters without one that a newcomer has made superfluous.
-
-        A voter that is silent stays while the number of voters is odd, since it may
-        come back with its disk. Once a newcomer has made the number even, the silent
-        one adds to the majority needed and to nothing else.
-        """
-        core, voters = self._core, self._storage.voters
-        if len(voters) < _MIN_VOTERS_TO_REMOVE or len(voters) % 2:
-            return None
-        silent_ms = core.settings.remove_silent_after_ms
-        now_ms = core.clock.monotonic_ms()
-        if now_ms - self._started_ms < silent_ms:
-            return None
-        for voter in sorted(voters, key=self._acknowledged_ms):
-            if voter == core.me or now_ms - self._acknowledged_ms(voter) < silent_ms:
-                continue
-            remaining = tuple(item for item in voters if item != voter)
-            if self._is_reachable(remaining):
-                return remaining
-        return None
-
-    def _caught_up_added(self) -> tuple[Voter, ...] | None:
-        """Return the voters with one more that has all committed entries."""
-        voters = self._storage.voters
-        for instance in sorted(self.peers):
-            peer = self.peers[instance]
-            learner = Voter(peer.instance, peer.disk_id)
-            if not peer.disk_id or learner in voters:
-                continue
-            if peer.match_index < self._core.commit_index:
-                continue
-            extended = tuple(sorted((*voters, learner)))
-            # An entry that cannot be committed would block later changes.
-            if self._is_reachable(extended):
-                return extended
-        return None
-
-    def _is_reachable(self, voters: tuple[Voter, ...]) -> bool:
-        silent_ms = self._core.clock.monotonic_ms() - self._majority_acknowledged_ms(
-            voters
-        )
-        return silent_ms < self._core.settings.election_timeout_min_ms
-
     # Handover
 
     async def transfer(self) -> bool:
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/entry/_cold.py
@@ -0,0 +1,70 @@
+"""Who may send to a cold upstream, and how often."""
+
+import hashlib
+from collections.abc import Iterable
+
+from cuminbend.budgets import TokenBudget
+
+from cuminbendd.entry._settings import EntrySettings
+
+
+def owns(upstream: str, *, own: str, instances: Iterable[str]) -> bool:
+    """Return whether this instance alone may send to a cold upstream.
+
+    One instance per upstream keeps the bound on the sum over all instances without an
+    exchange. Source: Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
+    Rates", 1998 (rendezvous hashing).
+
+    Args:
+        upstream: The cold upstream.
+        own: Name of this instance.
+        instances: Names of all instances that may be the one.
+    """
+
+    def weight(instance: str) -> bytes:
+        return hashlib.blake2b(f"{instance}/{upstream}".encode()).digest()
+
+    return max(instances, key=weight) == own
+
+
+class ColdRates:
+    """How often this instance may send to each cold upstream."""
+
+    def __init__(self, *, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._limits: dict[str, _RateLimit] = {}
+
+    def try_spend(self, upstream: str, declared_per_s: float, *, now_ms: float) -> bool:
+        """Return whether one more request is allowed, and count it.
+
+        Args:
+            upstream: The cold upstream.
+            declared_per_s: Rate that its service declares, 0 if none.
+            now_ms: Monotonic time.
+        """
+        limit = self._limits.get(upstream)
+        if limit is None:
+            settings = self._settings
+            rate_per_s = max(
+                declared_per_s * settings.cold_safety, settings.cold_rate_per_s
+            )
+            limit = self._limits[upstream] = _RateLimit(rate_per_s)
+        return limit.try_spend(now_ms)
+
+    def forget(self, upstream: str) -> None:
+        """Forget an upstream that is gone."""
+        self._limits.pop(upstream, None)
+
+
+class _RateLimit:
+    """A token bucket of one token that fills with time."""
+
+    def __init__(self, rate_per_s: float) -> None:
+        self._budget = TokenBudget(ratio=rate_per_s / 1000, burst=1.0)
+        self._filled_ms: float | None = None
+
+    def try_spend(self, now_ms: float) -> bool:
+        if self._filled_ms is not None:
+            self._budget.earn(int(now_ms - self._filled_ms))
+        self._filled_ms = now_ms
+        return self._budget.try_spend()
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -1,12 +1,10 @@
 """The upstreams that this instance knows, and the choice among them."""
 
 import asyncio
-import hashlib
 import logging
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 
-from cuminbend.budgets import TokenBudget
 from cuminbend.directory import active_count, active_entries
 from cuminbend.forwarding import (
     Replica,
@@ -19,6 +17,7 @@
 from cuminbend.registry import Registration, UpstreamState
 
 from cuminbendd.channel import parse_address
+from cuminbendd.entry._cold import ColdRates, owns
 from cuminbendd.entry._dialect import Dialect
 from cuminbendd.entry._pool import ConnectionPool
 from cuminbendd.entry._settings import EntrySettings
@@ -65,7 +64,7 @@
         self._policies: dict[str, ServicePolicy] = {}
         self._entries: dict[str, str] = {settings.instance: settings.data_centre}
         self._active = frozenset({settings.instance})
-        self._cold_budgets: dict[str, _RateLimit] = {}
+        self._cold = ColdRates(settings=settings)
         self._warm_up_count = 0
 
     # News
@@ -225,7 +224,7 @@
 
     def _remove(self, upstream: str, *, cause: str) -> None:
         self._unconfirmed_ms.pop(upstream, None)
-        self._cold_budgets.pop(upstream, None)
+        self._cold.forget(upstream)
         pool = self._pools.pop(upstream, None)
         if pool is None:
             return
@@ -383,33 +382,15 @@
         replica = group.choose_cold(
             now_ms=now_ms, excluded=excluded, evacuated=self.evacuated
         )
-        if replica is None or not self._owns_cold(replica.upstream):
+        if replica is None or not owns(
+            replica.upstream, own=self._settings.instance, instances=self._active
+        ):
             return None
-        budget = self._cold_budgets.get(replica.upstream)
-        if budget is None:
-            budget = _RateLimit(self._cold_rate_per_s(replica.service))
-            self._cold_budgets[replica.upstream] = budget
-        return self._pools[replica.upstream] if budget.try_spend(now_ms) else None
-
-    def _cold_rate_per_s(self, service: str) -> float:
-        policy = self._policies.get(service)
+        policy = self._policies.get(replica.service)
         declared = policy.cold_rate_per_s if policy else 0.0
-        return max(
-            declared * self._settings.cold_safety, self._settings.cold_rate_per_s
-        )
-
-    def _owns_cold(self, upstream: str) -> bool:
-        """Return whether this instance alone may send to a cold upstream.
-
-        One instance per upstream keeps the bound on the sum over all instances
-        without an exchange. Source: Thaler and Ravishankar, "Using Name-Based
-        Mappings to Increase Hit Rates", 1998 (rendezvous hashing).
-        """
-
-        def weight(entry: str) -> bytes:
-            return hashlib.blake2b(f"{entry}/{upstream}".encode()).digest()
-
-        return max(self._active, key=weight) == self._settings.instance
+        if not self._cold.try_spend(replica.upstream, declared, now_ms=now_ms):
+            return None
+        return self._pools[replica.upstream]
 
     @property
     def instances(self) -> int:
@@ -460,17 +441,3 @@
         """Close all connections."""
         for pool in self._pools.values():
             pool.abort()
-
-
-class _RateLimit:
-    """A token bucket of one token that fills with time."""
-
-    def __init__(self, rate_per_s: float) -> None:
-        self._budget = TokenBudget(ratio=rate_per_s / 1000, burst=1.0)
-        self._filled_ms: float | None = None
-
-    def try_spend(self, now_ms: float) -> bool:
-        if self._filled_ms is not None:
-            self._budget.earn(int(now_ms - self._filled_ms))
-        self._filled_ms = now_ms
-        return self._budget.try_spend()
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_cold.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_cold.py
@@ -7,6 +7,7 @@
 from cuminbend.registry import Registration, UpstreamState
 
 from cuminbendd.entry import Dialect, EntrySettings
+from cuminbendd.entry._cold import owns
 from cuminbendd.entry._upstreams import UpstreamDirectory
 from cuminbendd.metrics import Metrics
 
@@ -95,7 +96,8 @@
     # A second one has to wait for its rate.
     assert set(sent(directories).values()) == {0}
     owners = [
-        sum(item._owns_cold(upstream) for upstream in UPSTREAMS) for item in directories
+        sum(owns(upstream, own=name, instances=NAMES) for upstream in UPSTREAMS)
+        for name in NAMES
     ]
     assert sum(owners) == len(UPSTREAMS)
     assert max(owners) < len(UPSTREAMS) / 2
