--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
@@ -56,6 +56,18 @@
     await asyncio.sleep(30)
 
 
+def hold(up: FakeUpstream) -> asyncio.Event:
+    """Let an upstream answer only once the event is set."""
+    release, good = asyncio.Event(), up.reply
+
+    async def late(request: SeenRequest) -> bytes | None:
+        await release.wait()
+        return await good(request)
+
+    up.reply = late
+    return release
+
+
 class Pair:
     """An instance in a, with the first three shards, and a helper in b."""
 
@@ -150,14 +162,7 @@
 
     async def test() -> None:
         async with Pair(min_coverage=1.0, objective_ms=100.0, max_attempts=1) as pair:
-            release = asyncio.Event()
-            good = pair.ups[5].reply
-
-            async def late(request: SeenRequest) -> bytes | None:
-                await release.wait()
-                return await good(request)
-
-            pair.ups[5].reply = late
+            release = hold(pair.ups[5])
             asking = asyncio.ensure_future(pair.asked.ask())
             await asyncio.sleep(0.2)
             release.set()
@@ -227,14 +232,7 @@
 
     async def test() -> None:
         async with Pair() as pair:
-            release = asyncio.Event()
-            good = pair.ups[5].reply
-
-            async def late(request: SeenRequest) -> bytes | None:
-                await release.wait()
-                return await good(request)
-
-            pair.ups[5].reply = late
+            release = hold(pair.ups[5])
             first = asyncio.ensure_future(pair.asked.ask(request_id="id-1"))
             await until(lambda: bool(pair.ups[5].seen))
             helper = pair.helper.entry._helper
--- a/packages/cuminbendd/src/cuminbendd/feed/tests/test_feed.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/tests/test_feed.py
@@ -112,6 +112,14 @@
         await self._channel.close()
 
 
+def start_reading(sink: Sink, candidates: Callable[[], list[str]], **options):
+    """Return a client that reads from the candidates, and its task."""
+    client = FeedClient(
+        sink=sink, clock=SystemClock(), candidates=candidates, **options
+    )
+    return client, asyncio.ensure_future(client.run())
+
+
 async def until(ready: Callable[[], bool]) -> None:
     """Wait for a condition."""
     while not ready():  # noqa: ASYNC110
@@ -143,10 +151,7 @@
     async def test():
         sender, sink = Sender(Source([], "a")), Sink()
         address = await sender.start()
-        client = FeedClient(
-            sink=sink, clock=SystemClock(), candidates=lambda: [address]
-        )
-        reading = asyncio.ensure_future(client.run())
+        client, reading = start_reading(sink, lambda: [address])
         await until(lambda: bool(sink.updates))
         busy = replace(ENTRIES[7], is_busy=True)
         expected = {entry.instance: entry for entry in ENTRIES[:-1]} | {"e7": busy}
@@ -170,10 +175,7 @@
     async def test():
         sender, sink = Sender(Source([], "a")), Sink()
         address = await sender.start()
-        client = FeedClient(
-            sink=sink, clock=SystemClock(), candidates=lambda: [address]
-        )
-        reading = asyncio.ensure_future(client.run())
+        client, reading = start_reading(sink, lambda: [address])
         await until(lambda: bool(sink.updates))
         for _ in range(5):
             sender.feed.notify()
@@ -197,13 +199,11 @@
         events: list[str] = []
         far, near = Sender(Source(events, "far")), Sender(Source(events, "near"))
         far_address, near_address = await far.start(), await near.start()
-        client = FeedClient(
-            sink=Sink(),
-            clock=SystemClock(),
-            candidates=lambda: [far_address],
+        client, reading = start_reading(
+            Sink(),
+            lambda: [far_address],
             preferred=lambda held: near_address if held != near_address else None,
         )
-        reading = asyncio.ensure_future(client.run())
         await until(lambda: "far removed" in events)
         assert client.source == near_address
         await until(lambda: "near set" in events)
@@ -233,13 +233,9 @@
             asked.append(held)
             return bad_address
 
-        client = FeedClient(
-            sink=Sink(),
-            clock=SystemClock(),
-            candidates=lambda: [good_address],
-            preferred=preferred,
+        client, reading = start_reading(
+            Sink(), lambda: [good_address], preferred=preferred
         )
-        reading = asyncio.ensure_future(client.run())
         await until(lambda: len(asked) >= 3)
         assert set(asked) == {good_address}
         assert client.source == good_address
@@ -296,12 +292,9 @@
         first, cut, good = [await sender.start() for sender in senders]
         senders[1].source.is_current = False
         lists = [[first, cut], [first, cut, good]]
-        client = FeedClient(
-            sink=Sink(),
-            clock=SystemClock(),
-            candidates=lambda: list(lists[0]) if not client.source else [],
+        client, reading = start_reading(
+            Sink(), lambda: list(lists[0]) if not client.source else []
         )
-        reading = asyncio.ensure_future(client.run())
         await until(lambda: client.source == first)
         lists[0] = [first, good, cut]
         senders[0].source.is_current = False
@@ -324,10 +317,7 @@
         senders = [Sender(Source([], name)) for name in ("cut", "good")]
         cut, good = [await sender.start() for sender in senders]
         senders[0].source.is_current = False
-        client = FeedClient(
-            sink=Sink(), clock=SystemClock(), candidates=lambda: [cut, good]
-        )
-        reading = asyncio.ensure_future(client.run())
+        client, reading = start_reading(Sink(), lambda: [cut, good])
         await until(lambda: client.source == good)
         reading.cancel()
         for sender in senders:
