--- a/packages/cuminbendd/src/cuminbendd/feed/tests/test_feed.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/tests/test_feed.py
@@ -175,7 +175,7 @@
     async def test():
         sender, sink = Sender(Source([], "a")), Sink()
         address = await sender.start()
-        client, reading = start_reading(sink, lambda: [address])
+        _, reading = start_reading(sink, lambda: [address])
         await until(lambda: bool(sink.updates))
         for _ in range(5):
             sender.feed.notify()
