--- a/packages/cuminbend/src/cuminbend/query/_coordinator.py
+++ b/packages/cuminbend/src/cuminbend/query/_coordinator.py
@@ -5,6 +5,7 @@
 import anyio
 
 from cuminbend.config import Configuration
+from cuminbend.crashes import compute_fingerprint
 from cuminbend.exceptions import (
     DeadlineExceededError,
     OverloadedError,
@@ -26,7 +27,7 @@
     SearchRequest,
 )
 from cuminbend.query._fanout import QueryRun
-from cuminbend.query._fingerprints import FingerprintTable, compute_fingerprint
+from cuminbend.query._fingerprints import FingerprintTable
 from cuminbend.query._replicas import ReplicaStats
 from cuminbend.query._run_context import RunContext
 from cuminbend.query._settings import QuerySettings
--- a/packages/cuminbend/src/cuminbend/query/_fingerprints.py
+++ b/packages/cuminbend/src/cuminbend/query/_fingerprints.py
@@ -13,18 +13,6 @@
 from cuminbend.query._snapshots import ShardKey
 
 
-def compute_fingerprint(target: str, body: bytes) -> str:
-    """Return the fingerprint of a search, a hex digest of its target and body.
-
-    The member is left out, because a body that crashes upstreams does so for any
-    member.
-    """
-    name = target.encode()
-    digest = blake2b(digest_size=16)
-    digest.update(len(name).to_bytes(4, "big") + name + body)
-    return digest.hexdigest()
-
-
 def order_shards(fingerprint: str, keys: Iterable[ShardKey]) -> list[ShardKey]:
     """Return shards in the canary order, which is the same at every instance."""
     return sorted(keys, key=lambda key: _hash_parts(fingerprint, key[0], str(key[1])))
--- a/packages/cuminbend/src/cuminbend/query/tests/test_canary.py
+++ b/packages/cuminbend/src/cuminbend/query/tests/test_canary.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from cuminbend.crashes import compute_fingerprint
 from cuminbend.exceptions import (
     OverloadedError,
     QuarantinedError,
@@ -17,7 +18,6 @@
 )
 from cuminbend.messages import ShardReply, ShardRequest, WorkKind
 from cuminbend.query._canary import list_candidates
-from cuminbend.query._fingerprints import compute_fingerprint
 from cuminbend.query.tests._cluster import (
     OLD,
     WIDE,
--- a/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
@@ -49,6 +49,7 @@
 
     Attributes:
         replica: The upstream.
+        fingerprint: The same for attempts at equal requests.
         started_ms: Monotonic time at which the attempt was handed to the pool.
         expires_ms: Monotonic time at which its connection counts as silent.
         is_overdue: Whether the attempt has waited longer than the hedge delay.
@@ -64,6 +65,7 @@
         "_sent",
         "connection",
         "expires_ms",
+        "fingerprint",
         "is_done",
         "is_idempotent",
         "is_overdue",
@@ -79,6 +81,7 @@
         directory: "UpstreamDirectory",
         pool: ConnectionPool,
         request_id: bytes,
+        fingerprint: str,
         is_idempotent: bool,
         hedging: HedgeDelay,
         deadline_ms: float,
@@ -93,6 +96,7 @@
         self.connection: UpstreamConnection | None = None
         self.replica: Replica = pool.replica
         self.request_id = request_id
+        self.fingerprint = fingerprint
         self.is_idempotent = is_idempotent
         self.on_done = on_done
         self.expires_ms = deadline_ms + _SILENCE_MARGIN_MS
@@ -171,13 +175,15 @@
         self._directory.metrics.count_failed_attempt(str(kind))
         logger.info(
             "event=attempt_failed request=%s upstream=%s service=%s cause=%s sent=%s "
-            "failure_rate=%.2f",
+            "failure_rate=%.2f fingerprint=%s incarnation_ms=%d",
             self.request_id.decode("latin-1"),
             self.replica.upstream,
             self.replica.service,
             kind,
             self._sent,
             self.replica.failure_rate,
+            self.fingerprint,
+            self.replica.incarnation_ms,
         )
         self._finish(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN, None)
 
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -201,6 +201,7 @@
                 deadline_in_ms=max(0.0, prepared.deadline_ms - now_ms - round_trip_ms),
                 max_attempts=route.max_attempts,
                 top_k=route.top_k,
+                fingerprint=prepared.fingerprint,
             )
 
         peer.start_task(delegation, build_delegate)
--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+from cuminbend.crashes import compute_fingerprint
 from cuminbend.forwarding import (
     HedgeDelay,
     RetryBudgets,
@@ -132,7 +133,11 @@
 
 
 class PreparedRequest:
-    """The part of a forwarded request that is the same for every attempt."""
+    """The part of a forwarded request that is the same for every attempt.
+
+    Attributes:
+        fingerprint: The same for all requests with this host, target and body.
+    """
 
     def __init__(
         self,
@@ -140,12 +145,14 @@
         head: bytes,
         body: bytes,
         request_id: bytes,
+        fingerprint: str,
         header_names: HeaderNames,
         deadline_ms: float,
     ) -> None:
         self._header_names = header_names
         self.deadline_ms = deadline_ms
         self.request_id = request_id
+        self.fingerprint = fingerprint
         self.head = head
         self.body = body
 
@@ -166,6 +173,10 @@
             head=b"".join(head),
             body=request.body,
             request_id=request.header(header_names.request_id) or b"",
+            fingerprint=compute_fingerprint(
+                ((request.header(b"host") or b"") + request.target).decode("latin-1"),
+                request.body,
+            ),
             header_names=header_names,
             deadline_ms=deadline_ms,
         )
--- a/packages/cuminbendd/src/cuminbendd/entry/_helper.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_helper.py
@@ -109,6 +109,7 @@
             head=delegate.head,
             body=delegate.body,
             request_id=delegate.request_id,
+            fingerprint=delegate.fingerprint,
             header_names=context.header_names,
             deadline_ms=now_ms + delegate.deadline_in_ms,
         )
--- a/packages/cuminbendd/src/cuminbendd/entry/_peers.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_peers.py
@@ -26,6 +26,7 @@
         deadline_in_ms: Time after which no part is of use.
         max_attempts: Number of attempts that may run for one shard.
         top_k: Number of records to return.
+        fingerprint: Fingerprint of the request; empty from a version without it.
     """
 
     task_id: int
@@ -38,6 +39,7 @@
     deadline_in_ms: float
     max_attempts: int
     top_k: int
+    fingerprint: str = ""
 
 
 class Accepted(msgspec.Struct, array_like=True, tag=2):
--- a/packages/cuminbendd/src/cuminbendd/entry/_shards.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_shards.py
@@ -193,6 +193,7 @@
             directory=context.upstreams,
             pool=pool,
             request_id=self._prepared.request_id,
+            fingerprint=self._prepared.fingerprint,
             is_idempotent=True,
             hedging=self._hedging,
             deadline_ms=self._prepared.deadline_ms,
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -94,6 +94,7 @@
             directory=context.upstreams,
             pool=pool,
             request_id=self._prepared.request_id,
+            fingerprint=self._prepared.fingerprint,
             is_idempotent=self._route.idempotent,
             hedging=self._state.hedging,
             deadline_ms=self._prepared.deadline_ms,
