--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/crashes/tests/test_suspects.py
@@ -0,0 +1,112 @@
+"""Tests of what an instance knows and reports, against a record on virtual time."""
+
+from datetime import UTC, datetime, timedelta
+
+from cuminbend.crashes import CrashSettings, CrashSuspects, CrashTable, Verdict
+from cuminbend.crashes.tests.test_table import crash
+
+QUARANTINE_MS = 1000.0
+
+
+class SettableClock:
+    """A clock that a test sets."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+
+    def now(self) -> datetime:
+        return datetime(2026, 1, 5, tzinfo=UTC)
+
+    def monotonic_ms(self) -> float:
+        return self.now_ms
+
+    async def sleep(self, delay: timedelta) -> None:
+        raise NotImplementedError
+
+
+def new_suspects(clock: SettableClock | None = None) -> CrashSuspects:
+    return CrashSuspects(
+        settings=CrashSettings(quarantine_ms=QUARANTINE_MS),
+        clock=clock or SettableClock(),
+    )
+
+
+def send_report(suspects: CrashSuspects, record: CrashTable) -> None:
+    """Apply a report to the record."""
+    report = suspects.report()
+    for item in report.crashes:
+        record.record(item)
+    for answered in report.answered:
+        record.record_answer(answered.fingerprint, answered.service)
+
+
+def read(record: CrashTable, *readers: CrashSuspects) -> None:
+    for reader in readers:
+        reader.merge(record.changes_since(0), is_full=True)
+
+
+def test_report_is_repeated_until_it_is_recorded() -> None:
+    """Guards against an observation that is lost with a message or its receiver."""
+    suspects, record = new_suspects(), CrashTable()
+    suspects.record_crash(crash(1))
+    assert suspects.report().crashes == suspects.report().crashes != ()
+    read(record, suspects)
+    assert suspects.verdict("f") is Verdict.SUSPECT
+    send_report(suspects, record)
+    read(record, suspects)
+    assert suspects.report().is_empty
+
+
+def test_crashes_at_different_instances_add_up() -> None:
+    """Guards against one further crash at each instance of a large fleet."""
+    record = CrashTable()
+    fleet = [new_suspects() for _ in range(5)]
+    for number, suspects in enumerate(fleet[:3]):
+        suspects.record_crash(crash(number))
+        send_report(suspects, record)
+    read(record, *fleet)
+    assert {suspects.verdict("f") for suspects in fleet} == {Verdict.QUARANTINED}
+
+
+def test_answer_at_one_instance_clears_a_suspect_at_all() -> None:
+    """Guards against a harmless request that stays a suspect."""
+    record = CrashTable()
+    first, second = new_suspects(), new_suspects()
+    first.record_crash(crash(1))
+    send_report(first, record)
+    read(record, first, second)
+    second.record_answer("f", "s")
+    assert second.verdict("f") is Verdict.CLEAR
+    read(record, second)
+    assert second.verdict("f") is Verdict.CLEAR
+    send_report(second, record)
+    read(record, first, second)
+    assert first.verdict("f") is Verdict.CLEAR
+    assert second.report().is_empty
+
+
+def test_loss_of_many_upstreams_reports_nothing() -> None:
+    """Guards against a commit for each request that ran when many upstreams ended."""
+    suspects = new_suspects()
+    for number in range(200):
+        suspects.record_crash(
+            crash(number % 7, is_partial=True, fingerprint=f"f{number}")
+        )
+    assert suspects.report().is_empty
+
+
+def test_quarantine_allows_one_trial_in_each_period() -> None:
+    """Guards against a quarantine without end, and trials that crash many upstreams."""
+    clock = SettableClock()
+    suspects = new_suspects(clock)
+    for number in range(3):
+        suspects.record_crash(crash(number))
+    assert not suspects.begin_trial("f")
+    clock.now_ms += QUARANTINE_MS
+    assert [suspects.begin_trial("f") for _ in range(3)] == [True, False, False]
+    suspects.record_crash(crash(3))
+    assert suspects.quarantine_left_ms("f") == 2 * QUARANTINE_MS
+    clock.now_ms += 2 * QUARANTINE_MS
+    assert suspects.begin_trial("f")
+    suspects.record_answer("f", "s")
+    assert suspects.verdict("f") is Verdict.CLEAR
--- a/packages/cuminbend/src/cuminbend/newest/__init__.py
+++ b/packages/cuminbend/src/cuminbend/newest/__init__.py
@@ -3,6 +3,7 @@
 from cuminbend.newest._state import (
     Command,
     HighestVersionState,
+    RecordCrashes,
     SetConfiguration,
     SetEvacuated,
     StoredConfiguration,
@@ -13,6 +14,7 @@
 __all__ = [
     "Command",
     "HighestVersionState",
+    "RecordCrashes",
     "SetConfiguration",
     "SetEvacuated",
     "StoredConfiguration",
--- a/packages/cuminbend/src/cuminbend/newest/_state.py
+++ b/packages/cuminbend/src/cuminbend/newest/_state.py
@@ -11,10 +11,17 @@
 import logging
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from functools import singledispatchmethod
 from typing import Any
 
+from cuminbend.crashes import (
+    AnsweredRequest,
+    Crash,
+    CrashHistory,
+    CrashReport,
+    CrashTable,
+)
 from cuminbend.exceptions import CorruptDataError
 
 logger = logging.getLogger(__name__)
@@ -23,6 +30,7 @@
 _KIND_CONFIGURATION = 1
 _KIND_EVACUATION_ON = 2
 _KIND_EVACUATION_OFF = 3
+_KIND_CRASHES = 4
 _SNAPSHOT_HEADER_LENGTH = struct.Struct("<I")
 
 
@@ -46,7 +54,14 @@
     evacuated: bool
 
 
-Command = SetConfiguration | SetEvacuated
+@dataclass(frozen=True, slots=True)
+class RecordCrashes:
+    """Command to record what entry instances observed of crashing requests."""
+
+    report: CrashReport
+
+
+Command = SetConfiguration | SetEvacuated | RecordCrashes
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +78,9 @@
         return (
             _ENTRY_HEADER.pack(_KIND_CONFIGURATION, command.version) + command.content
         )
+    if isinstance(command, RecordCrashes):
+        body = json.dumps(asdict(command.report)).encode()
+        return _ENTRY_HEADER.pack(_KIND_CRASHES, 0) + body
     kind = _KIND_EVACUATION_ON if command.evacuated else _KIND_EVACUATION_OFF
     return _ENTRY_HEADER.pack(kind, 0) + command.data_centre.encode()
 
@@ -81,17 +99,35 @@
         return SetConfiguration(version, body)
     if kind in (_KIND_EVACUATION_ON, _KIND_EVACUATION_OFF):
         return SetEvacuated(body.decode(), kind == _KIND_EVACUATION_ON)
+    if kind == _KIND_CRASHES:
+        return RecordCrashes(_decode_report(body))
     raise CorruptDataError(
         f"a log entry has the unknown kind {kind}; upgrade all voters"
     )
 
 
+def _decode_report(body: bytes) -> CrashReport:
+    try:
+        fields = json.loads(body)
+        return CrashReport(
+            crashes=tuple(Crash(**crash) for crash in fields["crashes"]),
+            answered=tuple(
+                AnsweredRequest(**answered) for answered in fields["answered"]
+            ),
+        )
+    except (ValueError, TypeError, KeyError) as error:
+        raise CorruptDataError(
+            f"a record of crashes is unreadable ({error!r}); upgrade all voters"
+        ) from error
+
+
 class HighestVersionState:
-    """State machine of the highest configuration and the evacuated data centres.
+    """State machine of the configuration, evacuations and crashing requests.
 
     Attributes:
         stored_configuration: The configuration with the highest version.
         evacuated: Names of the data centres that are out of service.
+        crash_table: Requests that crashed upstreams.
         change_count: Number of changes so far, by which readers detect a change.
         on_change: Called after each change. It must not raise.
     """
@@ -99,6 +135,7 @@
     def __init__(self) -> None:
         self.stored_configuration = StoredConfiguration()
         self.evacuated: frozenset[str] = frozenset()
+        self.crash_table = CrashTable()
         self.change_count = 0
         self.on_change: Callable[[], None] | None = None
 
@@ -143,6 +180,16 @@
         if self.evacuated != previously_evacuated:
             self._notify_change()
 
+    @_execute.register
+    def _(self, command: RecordCrashes) -> None:
+        previous_revision = self.crash_table.revision
+        for crash in command.report.crashes:
+            self.crash_table.record(crash)
+        for answered in command.report.answered:
+            self.crash_table.record_answer(answered.fingerprint, answered.service)
+        if self.crash_table.revision != previous_revision:
+            self._notify_change()
+
     def _notify_change(self) -> None:
         self.change_count += 1
         if self.on_change is not None:
@@ -154,6 +201,11 @@
             {
                 "version": self.stored_configuration.version,
                 "evacuated": sorted(self.evacuated),
+                "crashes": [
+                    asdict(crash)
+                    for history in self.crash_table.histories()
+                    for crash in history.crashes
+                ],
             }
         ).encode()
         return (
@@ -177,4 +229,16 @@
             header["version"], data[body_start:]
         )
         self.evacuated = frozenset(header["evacuated"])
+        self.crash_table.replace_all(_decode_histories(header.get("crashes", [])))
         self._notify_change()
+
+
+def _decode_histories(crashes: list[dict[str, Any]]) -> list[CrashHistory]:
+    histories: dict[str, CrashHistory] = {}
+    for fields in crashes:
+        crash = Crash(**fields)
+        history = histories.get(crash.fingerprint) or CrashHistory(
+            fingerprint=crash.fingerprint
+        )
+        histories[crash.fingerprint] = history.with_crash(crash)
+    return list(histories.values())
--- a/packages/cuminbend/src/cuminbend/newest/tests/test_highest_version_state.py
+++ b/packages/cuminbend/src/cuminbend/newest/tests/test_highest_version_state.py
@@ -2,10 +2,12 @@
 
 import pytest
 
+from cuminbend.crashes import AnsweredRequest, Crash, CrashReport, Verdict
 from cuminbend.exceptions import CorruptDataError
 from cuminbend.newest import (
     Command,
     HighestVersionState,
+    RecordCrashes,
     SetConfiguration,
     SetEvacuated,
     decode_command,
@@ -59,6 +61,35 @@
     assert restored.evacuated == state.evacuated
 
 
+def test_quarantine_survives_a_snapshot() -> None:
+    """Guards against a request that crashes upstreams again after a restart."""
+    crashes = tuple(
+        Crash(fingerprint="f", upstream=f"u{number}", incarnation_ms=1, service="s")
+        for number in range(3)
+    )
+    other = Crash(fingerprint="g", upstream="u0", incarnation_ms=1, service="s")
+    answered = AnsweredRequest(fingerprint="g", service="s")
+    state = state_after(
+        RecordCrashes(CrashReport(crashes=(*crashes, other))),
+        RecordCrashes(CrashReport(answered=(answered,))),
+    )
+    restored = HighestVersionState()
+    restored.restore(state.snapshot())
+    for table in (state.crash_table, restored.crash_table):
+        assert table.history("f").crashes == crashes
+        assert table.history("f").verdict is Verdict.QUARANTINED
+        assert table.history("g").verdict is Verdict.CLEAR
+
+
+def test_snapshot_of_a_version_without_crashes_is_restored() -> None:
+    """Guards against a voter that cannot start with its old disk after an upgrade."""
+    header = b'{"version": 7, "evacuated": ["a"]}'
+    restored = HighestVersionState()
+    restored.restore(len(header).to_bytes(4, "little") + header + b"content")
+    assert restored.stored_configuration.content == b"content"
+    assert restored.crash_table.histories() == []
+
+
 def test_unknown_entry_is_skipped(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against voters that fail at an entry of a newer version."""
     state = state_after(SetConfiguration(7, b"x"))
--- a/packages/cuminbendd/src/cuminbendd/control/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_instance.py
@@ -6,6 +6,7 @@
 import random
 from typing import Any
 
+from cuminbend.crashes import CrashHistory, CrashReport
 from cuminbend.directory import EntryCandidate
 from cuminbend.newest import (
     Command,
@@ -16,6 +17,7 @@
 from cuminbend.registry import Registration, RegistrationTable
 
 from cuminbendd.channel import ChannelServer, FrameStream, parse_address
+from cuminbendd.control._crash_reports import CrashReports
 from cuminbendd.control._group import ControlGroup
 from cuminbendd.control._known_instances import KnownInstances
 from cuminbendd.control._leaves import LeaveConfirmations
@@ -85,6 +87,7 @@
             own_info=self._own_info, entry_retention_ms=settings.entry_retention_ms
         )
         self._feed_server = FeedServer(source=self, clock=clock)
+        self._crash_reports = CrashReports(state=self._state, commit=self._group.commit)
         self._state.on_change = self._on_state_change
         self._channel = ChannelServer(
             codec=CONTROL_CODEC, on_call=self._on_call, on_stream=self._on_stream
@@ -144,6 +147,7 @@
             task.cancel()
         await self._channel.close()
         self._leaves.close()
+        self._crash_reports.close()
         self._group.close()
 
     async def wait_for_failure(self) -> None:
@@ -324,6 +328,19 @@
             )
         )
 
+    @property
+    def crash_revision(self) -> int:
+        """Revision of the crash histories; it grows with each change."""
+        return self._state.crash_table.revision
+
+    def crash_histories_since(self, revision: int) -> tuple[CrashHistory, ...]:
+        """Return the crash histories that changed after a revision."""
+        return self._state.crash_table.changes_since(revision)
+
+    def take_crash_report(self, report: CrashReport) -> None:
+        """Record what an entry instance observed of crashing requests."""
+        self._crash_reports.take(report)
+
     def entries(self, *, only_held_here: bool = False) -> tuple[EntryInfo, ...]:
         """Return the entry instances in the directory, sorted by name.
 
@@ -411,6 +428,7 @@
             "configuration_version": self._state.stored_configuration.version,
             "configuration_bytes": len(self._state.stored_configuration.content),
             "evacuated_data_centres": len(self._state.evacuated),
+            "crashing_requests": len(self._state.crash_table.histories()),
             "group_current": float(self.is_current),
             "group_leader": float(replica.is_leader),
             "group_term": replica.term,
--- a/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
@@ -12,6 +12,7 @@
 from cuminbendd.http1 import FailureKind, UpstreamConnection, UpstreamResponse
 
 if TYPE_CHECKING:
+    from cuminbendd.entry._forwarding import PreparedRequest
     from cuminbendd.entry._upstreams import UpstreamDirectory
 
 logger = logging.getLogger(__name__)
@@ -49,7 +50,6 @@
 
     Attributes:
         replica: The upstream.
-        fingerprint: The same for attempts at equal requests.
         started_ms: Monotonic time at which the attempt was handed to the pool.
         expires_ms: Monotonic time at which its connection counts as silent.
         is_overdue: Whether the attempt has waited longer than the hedge delay.
@@ -62,10 +62,10 @@
         "_encode",
         "_hedging",
         "_pool",
+        "_request",
         "_sent",
         "connection",
         "expires_ms",
-        "fingerprint",
         "is_done",
         "is_idempotent",
         "is_overdue",
@@ -80,11 +80,9 @@
         *,
         directory: "UpstreamDirectory",
         pool: ConnectionPool,
-        request_id: bytes,
-        fingerprint: str,
+        request: "PreparedRequest",
         is_idempotent: bool,
         hedging: HedgeDelay,
-        deadline_ms: float,
         encode: Callable[["Attempt"], bytes | None],
         on_done: Callable[["Attempt", Outcome, UpstreamResponse | None], None],
     ) -> None:
@@ -95,11 +93,11 @@
         self._sent = False
         self.connection: UpstreamConnection | None = None
         self.replica: Replica = pool.replica
-        self.request_id = request_id
-        self.fingerprint = fingerprint
+        self._request = request
+        self.request_id = request.request_id
         self.is_idempotent = is_idempotent
         self.on_done = on_done
-        self.expires_ms = deadline_ms + _SILENCE_MARGIN_MS
+        self.expires_ms = request.deadline_ms + _SILENCE_MARGIN_MS
         self.is_overdue = False
         self.is_done = False
         self.started_ms = directory.clock.monotonic_ms()
@@ -155,8 +153,14 @@
             self.replica.record_error(now_ms=now_ms)
             self._directory.metrics.count_failed_attempt(f"status_{response.status}")
             self._log_failed_response("attempt_error", response)
+            self._directory.crash_watch.record_answer(
+                self._request, self.replica.service
+            )
             self._finish(Outcome.ERROR, response)
         else:
+            self._directory.crash_watch.record_answer(
+                self._request, self.replica.service
+            )
             latency_ms = now_ms - self.started_ms
             self._hedging.record(latency_ms, has_queue=self.replica.queued > 0)
             self.replica.record_answer(
@@ -172,6 +176,10 @@
             self.replica.record_unanswered_attempt(
                 now_ms=self._directory.clock.monotonic_ms()
             )
+        if kind is FailureKind.BROKEN and self._sent:
+            self._directory.crash_watch.record_broken_connection(
+                self._request, self._pool
+            )
         self._directory.metrics.count_failed_attempt(str(kind))
         logger.info(
             "event=attempt_failed request=%s upstream=%s service=%s cause=%s sent=%s "
@@ -182,7 +190,7 @@
             kind,
             self._sent,
             self.replica.failure_rate,
-            self.fingerprint,
+            self._request.fingerprint,
             self.replica.incarnation_ms,
         )
         self._finish(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN, None)
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -3,9 +3,10 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
+from cuminbend.crashes import Verdict
 from cuminbend.forwarding import (
     RECORD_BYTES,
     PartCollector,
@@ -71,6 +72,9 @@
         # instance may have sent one attempt to each of them, so one less is allowed.
         self._fallback = self._new_fan_out(route.max_attempts - 1)
         self._delegations: list[Delegation] = []
+        self._helpers: list[Peer] = []
+        # Shards that a suspect request is sent to once another shard has answered it.
+        self._held_shards: tuple[str, ...] = ()
         self._loop = asyncio.get_running_loop()
         self._timers: list[asyncio.TimerHandle] = []
         self._objective_passed = False
@@ -96,6 +100,13 @@
         """Send one attempt to each shard, directly or through other instances."""
         upstreams = self._context.upstreams
         self._responder.on_abandoned = self._on_caller_left
+        verdict = self._context.admit_suspect(self._prepared)
+        if verdict is Verdict.QUARANTINED:
+            self._stop_sending()
+            self._answer_rejection(
+                self._context.quarantine_left_ms(self._prepared), "quarantined"
+            )
+            return
         data_centres_by_shard = {
             name: upstreams.serving_data_centres(name) for name in self._route.shards
         }
@@ -109,22 +120,55 @@
             self._stop_sending()
             self._answer_rejection(capacity_wait_ms, "overload")
             return
+        if verdict is Verdict.SUSPECT:
+            self._start_canary(data_centres_by_shard)
+        else:
+            self._start_shards(self._route.shards, data_centres_by_shard)
+        self._is_starting = False
+        self._start_timers()
+        self._answer_if_due()
+
+    def _start_canary(
+        self, data_centres_by_shard: Mapping[str, frozenset[str]]
+    ) -> None:
+        """Send a suspect request to one shard, and hold the others until it answers.
+
+        Source: Dean and Barroso, "The Tail at Scale", CACM 2013 (canary requests).
+        """
+        canary = next(
+            shard for shard in self._route.shards if data_centres_by_shard[shard]
+        )
+        self._held_shards = tuple(
+            shard for shard in self._route.shards if shard != canary
+        )
+        self._fan_out.start((canary,))
+
+    def _start_held_shards(self) -> None:
+        held_shards, self._held_shards = self._held_shards, ()
+        upstreams = self._context.upstreams
+        self._start_shards(
+            held_shards,
+            {name: upstreams.serving_data_centres(name) for name in held_shards},
+        )
+
+    def _start_shards(
+        self,
+        shards: tuple[str, ...],
+        data_centres_by_shard: Mapping[str, frozenset[str]],
+    ) -> None:
+        """Send one attempt to each shard, directly or through other instances."""
         peers = self._context.peers
         plan = plan_fan_out(
-            self._route.shards,
+            shards,
             own_data_centre=self._context.settings.data_centre,
             data_centres_by_shard=data_centres_by_shard,
             helper_counts=peers.usable_counts() if peers else {},
         )
-        helpers: list[Peer] = []
         direct = plan.direct
         for data_centre, group in plan.delegated:
-            if not self._delegate_group(data_centre, group, helpers):
+            if not self._delegate_group(data_centre, group):
                 direct += group
         self._fan_out.start(direct)
-        self._is_starting = False
-        self._start_timers()
-        self._answer_if_due()
 
     def _is_admitted(self, capacity_wait_ms: float) -> bool:
         """Return whether to start the request; under overload by a random draw."""
@@ -155,32 +199,34 @@
             if delegation.is_open
             for shard in delegation.shards
         )
-        return delegated + self._fan_out.pending_count + self._fallback.pending_count
+        own = self._fan_out.pending_count + self._fallback.pending_count
+        return delegated + own + len(self._held_shards)
 
     # Parts
 
     def _on_part(self, shard: str, part: ShardPart) -> bool:
-        return self._collector.add(shard, part)
+        is_accepted = self._collector.add(shard, part)
+        if is_accepted and self._held_shards and not self._is_answered:
+            self._start_held_shards()
+        return is_accepted
 
-    def _delegate_group(
-        self, data_centre: str, group: tuple[str, ...], helpers: list[Peer]
-    ) -> bool:
+    def _delegate_group(self, data_centre: str, group: tuple[str, ...]) -> bool:
         """Delegate a group to an instance in a data centre.
 
+        Instances that were given a group of this request before are not chosen again.
+
         Args:
             data_centre: Data centre of the instance.
             group: Shards to delegate.
-            helpers: Instances that were given a group of this request before. They are
-                not chosen again; the chosen instance is appended.
 
         Returns:
             Whether there is a usable instance.
         """
         peers = self._context.peers
-        peer = peers.choose_peer(data_centre, helpers) if peers else None
+        peer = peers.choose_peer(data_centre, self._helpers) if peers else None
         if peer is None:
             return False
-        helpers.append(peer)
+        self._helpers.append(peer)
         delegation = Delegation(
             shards=group, on_merged=self._on_merged, on_failed=self._on_helper_failed
         )
@@ -249,6 +295,9 @@
     def _answer_if_due(self) -> None:
         if self._is_answered or self._is_starting:
             return
+        if self._held_shards and not self._fan_out.pending_count:
+            # The canary has ended without an answer.
+            self._held_shards = ()
         pending = self._pending_count
         if self._collector.should_answer(
             pending=pending, objective_passed=self._objective_passed
--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from cuminbend.crashes import compute_fingerprint
+from cuminbend.crashes import Verdict, allows_another_attempt, compute_fingerprint
 from cuminbend.forwarding import (
     HedgeDelay,
     RetryBudgets,
@@ -131,12 +131,60 @@
         """Return the state of a route of the configuration in force."""
         return self._route_states[route.name]
 
+    # Requests that crash upstreams
+
+    def admit_suspect(self, prepared: "PreparedRequest") -> Verdict:
+        """Return how to treat a request that is about to start.
+
+        A quarantined request becomes a suspect if it may run as a trial.
+        """
+        suspects = self.upstreams.crash_watch.suspects
+        fingerprint = prepared.fingerprint
+        verdict = suspects.verdict(fingerprint)
+        if (
+            verdict is Verdict.QUARANTINED
+            and self.upstreams.is_designated_for(fingerprint)
+            and suspects.begin_trial(fingerprint)
+        ):
+            prepared.is_trial = True
+            return Verdict.SUSPECT
+        return verdict
+
+    def is_quarantined(self, prepared: "PreparedRequest") -> bool:
+        """Return whether a request may be sent to no upstream any more."""
+        suspects = self.upstreams.crash_watch.suspects
+        return (
+            not prepared.is_trial
+            and suspects.verdict(prepared.fingerprint) is Verdict.QUARANTINED
+        )
+
+    def quarantine_left_ms(self, prepared: "PreparedRequest") -> float:
+        """Return the time until a quarantined request may be tried again."""
+        suspects = self.upstreams.crash_watch.suspects
+        return suspects.quarantine_left_ms(prepared.fingerprint)
+
+    def allows_another_attempt(
+        self, prepared: "PreparedRequest", *, has_open_attempts: bool
+    ) -> bool:
+        """Return whether the crashes of a request allow an attempt after the first."""
+        suspects = self.upstreams.crash_watch.suspects
+        return allows_another_attempt(
+            suspects.verdict(prepared.fingerprint),
+            was_answered=prepared.was_answered,
+            broken_count=prepared.broken_count,
+            has_open_attempts=has_open_attempts,
+        )
+
 
 class PreparedRequest:
     """The part of a forwarded request that is the same for every attempt.
 
     Attributes:
         fingerprint: The same for all requests with this host, target and body.
+        was_answered: Whether an upstream has answered it to this instance.
+        broken_count: Number of attempts whose connection broke.
+        is_trial: Whether it runs once to find out if the quarantine of its fingerprint
+            can end.
     """
 
     def __init__(
@@ -153,6 +201,9 @@
         self.deadline_ms = deadline_ms
         self.request_id = request_id
         self.fingerprint = fingerprint
+        self.was_answered = False
+        self.broken_count = 0
+        self.is_trial = False
         self.head = head
         self.body = body
 
--- a/packages/cuminbendd/src/cuminbendd/entry/_helper.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_helper.py
@@ -105,7 +105,7 @@
         self._reports_each_part = False
         self._timers: list[asyncio.TimerHandle] = []
         now_ms = context.clock.monotonic_ms()
-        prepared = PreparedRequest(
+        self._prepared = PreparedRequest(
             head=delegate.head,
             body=delegate.body,
             request_id=delegate.request_id,
@@ -115,7 +115,7 @@
         )
         self._fan_out = ShardFanOut(
             context=context,
-            prepared=prepared,
+            prepared=self._prepared,
             hedging=context.hedge_delay_of(delegate.route)
             or HedgeDelay(objective_ms=max(1.0, delegate.answer_in_ms)),
             max_attempts=delegate.max_attempts,
@@ -131,6 +131,9 @@
             return
         delegate = self._delegate
         self._connection.send(Accepted(delegate.task_id))
+        if self._context.is_quarantined(self._prepared):
+            self._finish()
+            return
         loop = asyncio.get_running_loop()
         for delay_ms, action in (
             (delegate.answer_in_ms, self._on_answer_due),
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+from cuminbend.crashes import CrashSuspects, Verdict
 from cuminbend.directory import EntryCandidate
 from cuminbend.exceptions import ConfigurationError
 from cuminbend.forwarding import (
@@ -17,6 +18,7 @@
 from cuminbend.ports import Clock
 
 from cuminbendd.channel import parse_address
+from cuminbendd.entry._crash_watch import CrashWatch
 from cuminbendd.entry._delegation import Peers
 from cuminbendd.entry._fanout import FanOutRequest
 from cuminbendd.entry._forwarding import ForwardingContext, rejection_response
@@ -69,12 +71,17 @@
         self._decode = decode
         self.metrics = Metrics(gauges=self._gauges)
         self._recovery = RecoveryEstimate(settings=settings.recovery, clock=clock)
+        self._suspects = CrashSuspects(settings=settings.crashes, clock=clock)
+        self._crash_watch = CrashWatch(
+            suspects=self._suspects, report=lambda: self._feed.notify()
+        )
         self._upstreams = UpstreamDirectory(
             settings=settings,
             recovery=self._recovery,
             clock=clock,
             header_names=header_names,
             metrics=self.metrics,
+            crash_watch=self._crash_watch,
         )
         self._retry_budgets = RetryBudgets(settings=settings.retries, clock=clock)
         self._peers = Peers(own_instance=settings.instance, clock=clock)
@@ -179,6 +186,7 @@
         self.server.close()
         self._helper.close()
         self._peers.close()
+        self._crash_watch.close()
         self._upstreams.close()
 
     async def _run_periodic_checks(self) -> None:
@@ -240,6 +248,10 @@
             "control_joined": float(self._feed.source is not None),
             "news_age_ms": self._clock.monotonic_ms() - self._last_update_ms,
             "loop_lag_ms": self._lag_ms,
+            "requests_quarantined": len(
+                self._suspects.fingerprints(Verdict.QUARANTINED)
+            ),
+            "requests_suspect": len(self._suspects.fingerprints(Verdict.SUSPECT)),
             "retry_tokens_least": self._retry_budgets.fewest_tokens(),
         }
 
@@ -267,6 +279,8 @@
                 "version": self.version,
                 "control": self._feed.source,
                 "is_ready": self.is_ready,
+                "quarantined": self._suspects.fingerprints(Verdict.QUARANTINED),
+                "suspects": self._suspects.fingerprints(Verdict.SUSPECT),
                 **self._upstreams.dump(),
             }
         ).encode()
@@ -296,6 +310,7 @@
             is_busy=self._lag_ms > _BUSY_LAG_MS,
             is_active=self._upstreams.is_active,
             version=self.version,
+            crash_report=self._suspects.report(),
         )
 
     def on_update(self, source: str, update: Update) -> None:
@@ -312,6 +327,8 @@
             return
         self._last_update_ms = self._clock.monotonic_ms()
         self._upstreams.record_news()
+        if update.crash_histories or update.is_full:
+            self._suspects.merge(update.crash_histories, is_full=update.is_full)
         if update.content is not None:
             self._set_configuration(update.content)
         if update.evacuated is not None:
--- a/packages/cuminbendd/src/cuminbendd/entry/_pool.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_pool.py
@@ -26,6 +26,8 @@
 # unknown whether the request ran. A request that is not idempotent therefore only gets
 # a connection that was used within this time.
 _NON_IDEMPOTENT_MAX_IDLE_MS = 500.0
+# The connections of a process that ends break within this time.
+_END_CHECK_DELAY_S = 0.02
 # A pool at its connection limit takes no more attempts when this many are waiting.
 _MAX_WAITING_ATTEMPTS = 2
 
@@ -75,6 +77,8 @@
         self._waiting_attempts: deque[PooledAttempt] = deque()
         self._is_closed = False
         self._tasks: set[asyncio.Task[None]] = set()
+        self._was_refused = False
+        self._end_check: asyncio.Task[bool] | None = None
 
     @property
     def size(self) -> int:
@@ -130,6 +134,26 @@
             if attempt is not None and attempt.expires_ms < now_ms:
                 connection.close(FailureKind.SILENT)
 
+    async def has_ended(self) -> bool:
+        """Return whether the upstream has ended, asked after a connection broke.
+
+        A connection also breaks when it alone is reset. Then others stay open, or a new
+        one is accepted; the process that has ended refuses it.
+        """
+        if self._end_check is None or self._end_check.done():
+            self._end_check = asyncio.ensure_future(self._check_end())
+        return await self._end_check
+
+    async def _check_end(self) -> bool:
+        await asyncio.sleep(_END_CHECK_DELAY_S)
+        if self._open_connections or self._is_closed:
+            return False
+        if not self._connecting_count:
+            self._connect()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        return self._was_refused and not self._is_closed
+
     def close(self) -> None:
         """Close idle connections, and each connection in use after its response."""
         self._is_closed = True
@@ -200,9 +224,11 @@
                 await loop.create_connection(lambda: connection, host, port)
         except (OSError, TimeoutError) as error:
             self._connecting_count -= 1
+            self._was_refused = isinstance(error, ConnectionRefusedError)
             self._record_unreachable(error)
             return
         self._connecting_count -= 1
+        self._was_refused = False
         if self._is_closed:
             connection.close()
             return
--- a/packages/cuminbendd/src/cuminbendd/entry/_settings.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from cuminbend.crashes import CrashSettings
 from cuminbend.forwarding import (
     PlacementSettings,
     RecoverySettings,
@@ -58,6 +59,7 @@
     placement: PlacementSettings = field(default_factory=PlacementSettings)
     retries: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
     recovery: RecoverySettings = field(default_factory=RecoverySettings)
+    crashes: CrashSettings = field(default_factory=CrashSettings)
     link_mbps: float = 1000.0
     answer_margin_ms: float = 2.5
     answer_margin_share: float = 0.02
--- a/packages/cuminbendd/src/cuminbendd/entry/_shards.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_shards.py
@@ -34,7 +34,8 @@
         has_part: Whether a part of the shard was accepted.
         no_attempt_cause: Why the last request for another attempt was denied:
             ``attempts`` (all that are allowed are used), ``early``, ``budget`` (no
-            token) or ``upstream`` (none takes work); empty after an attempt.
+            token), ``suspect`` (the request may have crashed upstreams) or ``upstream``
+            (none takes work); empty after an attempt.
     """
 
     service: str
@@ -126,10 +127,23 @@
             running_count=0, max_attempts=self._max_attempts
         ):
             return False
+        if not self._has_open_attempts and not self._allows_another_attempt:
+            return False
         return self._context.upstreams.has_warm_replica_by(
             shard.service, by_ms=self._retry_until_ms, excluded=shard.tried_upstreams
         )
 
+    @property
+    def _has_open_attempts(self) -> bool:
+        return any(shard.open_attempts for shard in self._shards)
+
+    @property
+    def _allows_another_attempt(self) -> bool:
+        """Whether the crashes of the request allow attempts after the first ones."""
+        return self._context.allows_another_attempt(
+            self._prepared, has_open_attempts=self._has_open_attempts
+        )
+
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream may have run the request, or may run it now."""
@@ -192,11 +206,9 @@
         attempt = Attempt(
             directory=context.upstreams,
             pool=pool,
-            request_id=self._prepared.request_id,
-            fingerprint=self._prepared.fingerprint,
+            request=self._prepared,
             is_idempotent=True,
             hedging=self._hedging,
-            deadline_ms=self._prepared.deadline_ms,
             encode=self._encode,
             on_done=on_done,
         )
@@ -206,7 +218,7 @@
         attempt.start()
 
     def _encode(self, attempt: Attempt) -> bytes | None:
-        if self._is_ended:
+        if self._is_ended or self._context.is_quarantined(self._prepared):
             return None
         return self._prepared.encode(attempt, self._context.clock.monotonic_ms())
 
@@ -225,6 +237,9 @@
         if self._context.clock.monotonic_ms() < self._second_attempt_from_ms:
             shard.no_attempt_cause = "early"
             return False
+        if not self._allows_another_attempt:
+            shard.no_attempt_cause = "suspect"
+            return False
         # The first attempt at a shard is not an extra one and needs no token.
         retry_budgets, is_extra = (
             self._context.retry_budgets,
@@ -306,9 +321,19 @@
             shard.has_part = self._accept_part(shard, response)
         if not shard.has_part and self.allows_retries:
             self._send_another_attempt(shard)
+        elif shard.has_part:
+            self._resume_suspect_shards()
         if not self._is_starting:
             self._on_progress()
 
+    def _resume_suspect_shards(self) -> None:
+        """Send the attempts that were denied before a part showed that they may go."""
+        if not self.allows_retries:
+            return
+        for shard in self._shards:
+            if shard.no_attempt_cause == "suspect" and not shard.open_attempts:
+                self._send_another_attempt(shard)
+
     def _accept_part(self, shard: _Shard, response: UpstreamResponse) -> bool:
         stamp = response.header(self._context.header_names.stamp)
         if stamp is None or response.status != HTTPStatus.OK:
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -4,6 +4,7 @@
 import logging
 from http import HTTPStatus
 
+from cuminbend.crashes import Verdict
 from cuminbend.forwarding import AttemptCounts, Route
 
 from cuminbendd.entry._attempts import Attempt, Outcome
@@ -60,6 +61,9 @@
         context = self._context
         context.retry_budgets.record_request(self._service)
         self._responder.on_abandoned = self._on_caller_left
+        if context.admit_suspect(self._prepared) is Verdict.QUARANTINED:
+            self._reject(context.quarantine_left_ms(self._prepared), "quarantined")
+            return
         pool = self._choose_pool()
         if pool is None:
             self._answer_rejection("no_upstream")
@@ -93,11 +97,9 @@
         attempt = Attempt(
             directory=context.upstreams,
             pool=pool,
-            request_id=self._prepared.request_id,
-            fingerprint=self._prepared.fingerprint,
+            request=self._prepared,
             is_idempotent=self._route.idempotent,
             hedging=self._state.hedging,
-            deadline_ms=self._prepared.deadline_ms,
             encode=self._encode,
             on_done=self._on_attempt_done,
         )
@@ -117,6 +119,10 @@
             is_idempotent=self._route.idempotent,
         ):
             return False
+        if not self._context.allows_another_attempt(
+            self._prepared, has_open_attempts=bool(self._open_attempts)
+        ):
+            return False
         retry_budgets = self._context.retry_budgets
         if not retry_budgets.has_token(self._service):
             return False
@@ -128,7 +134,7 @@
         return True
 
     def _encode(self, attempt: Attempt) -> bytes | None:
-        if self._is_answered:
+        if self._is_answered or self._context.is_quarantined(self._prepared):
             return None
         now_ms = self._context.clock.monotonic_ms()
         return self._prepared.encode(attempt, now_ms)
@@ -200,10 +206,14 @@
         (capacity_wait_ms,) = self._context.upstreams.ready_in_ms(
             [self._service], service_ms=self._state.hedging.service_ms
         )
+        self._reject(capacity_wait_ms, f"rejected_{cause}")
+
+    def _reject(self, wait_ms: float, cause: str) -> None:
+        """Answer that the request did not run, with a time for the next try."""
         response = rejection_response(
-            capacity_wait_ms=capacity_wait_ms, priority=self._route.priority
+            capacity_wait_ms=wait_ms, priority=self._route.priority
         )
-        self._send_answer(response, f"rejected_{cause}")
+        self._send_answer(response, cause)
 
     def _on_deadline(self) -> None:
         if self._is_answered:
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -19,6 +19,7 @@
 
 from cuminbendd.channel import parse_address
 from cuminbendd.entry._cold import ColdRateLimits, is_designated_sender
+from cuminbendd.entry._crash_watch import CrashWatch
 from cuminbendd.entry._header_names import HeaderNames
 from cuminbendd.entry._pool import ConnectionPool
 from cuminbendd.entry._settings import EntrySettings
@@ -48,6 +49,7 @@
         clock: Source of time.
         header_names: Header names.
         metrics: Counters of the instance, to which attempts are added.
+        crash_watch: Is told how attempts end.
     """
 
     def __init__(
@@ -58,8 +60,10 @@
         clock: Clock,
         header_names: HeaderNames,
         metrics: Metrics,
+        crash_watch: CrashWatch,
     ) -> None:
         self.clock = clock
+        self.crash_watch = crash_watch
         self.metrics = metrics
         self.header_names = header_names
         self.evacuated: frozenset[str] = frozenset()
@@ -448,11 +452,7 @@
         replica = group.choose_cold_replica(
             now_ms=now_ms, excluded=excluded, evacuated=self.evacuated
         )
-        if replica is None or not is_designated_sender(
-            replica.upstream,
-            own_instance=self._settings.instance,
-            candidates=self._active_entries,
-        ):
+        if replica is None or not self.is_designated_for(replica.upstream):
             return None
         policy = self._policies.get(replica.service)
         declared_per_s = policy.cold_rate_per_s if policy else 0.0
@@ -462,6 +462,14 @@
             return None
         return self._pools[replica.upstream]
 
+    def is_designated_for(self, name: str) -> bool:
+        """Return whether this active instance alone does a task with this name."""
+        return is_designated_sender(
+            name,
+            own_instance=self._settings.instance,
+            candidates=self._active_entries,
+        )
+
     @property
     def sharing_instance_count(self) -> int:
         """Number of entry instances that share the retry budgets.
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_cold_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_cold_upstreams.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import pytest
+from cuminbend.crashes import CrashSettings, CrashSuspects
 from cuminbend.forwarding import (
     RecoveryEstimate,
     RecoverySettings,
@@ -14,6 +15,7 @@
 
 from cuminbendd.entry import EntrySettings, HeaderNames
 from cuminbendd.entry._cold import is_designated_sender
+from cuminbendd.entry._crash_watch import CrashWatch
 from cuminbendd.entry._upstreams import UpstreamDirectory
 from cuminbendd.metrics import Metrics
 
@@ -62,6 +64,9 @@
         clock=clock,  # type: ignore[arg-type]
         header_names=HeaderNames(),
         metrics=Metrics(),
+        crash_watch=CrashWatch(
+            suspects=CrashSuspects(settings=CrashSettings(), clock=clock)  # type: ignore[arg-type]
+        ),
     )
     services = {
         f"service-{upstream}": ServicePolicy(
--- a/packages/cuminbendd/src/cuminbendd/feed/_messages.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from cuminbend.crashes import CrashHistory, CrashReport
 from cuminbend.registry import Registration
 
 from cuminbendd.channel import Codec
@@ -69,12 +70,14 @@
         is_busy: Whether it has little processor time left.
         is_active: Whether it holds connections to upstreams.
         version: Version of the configuration that it uses.
+        crash_report: Crashes of upstreams that the control group has yet to record.
     """
 
     is_available: bool
     is_busy: bool
     is_active: bool
     version: int
+    crash_report: CrashReport = CrashReport()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -98,6 +101,7 @@
         collected_ms: Time for which the control instances that the sender knows have
             received heartbeats of upstreams; None from a version that does not state
             it.
+        crash_histories: Requests whose crashes of upstreams have changed.
     """
 
     is_current: bool
@@ -110,6 +114,7 @@
     entries_gone: tuple[str, ...] = ()
     controls: tuple[ControlInfo, ...] | None = None
     collected_ms: float | None = None
+    crash_histories: tuple[CrashHistory, ...] = ()
 
 
 # Messages of the feed; control instances exchange further ones.
--- a/packages/cuminbendd/src/cuminbendd/feed/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_server.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
+from cuminbend.crashes import CrashHistory, CrashReport
 from cuminbend.exceptions import ChannelError
 from cuminbend.newest import StoredConfiguration
 from cuminbend.ports import Clock
@@ -63,6 +64,16 @@
             only_held_here: Leave out upstreams that report to another control instance.
         """
 
+    @property
+    def crash_revision(self) -> int:
+        """Revision of the crash histories; it grows with each change."""
+
+    def crash_histories_since(self, revision: int) -> tuple[CrashHistory, ...]:
+        """Return the crash histories that changed after a revision."""
+
+    def take_crash_report(self, report: CrashReport) -> None:
+        """Record what an entry instance observed of crashing requests."""
+
     def entries(self, *, only_held_here: bool) -> tuple[EntryInfo, ...]:
         """Return the entry instances in the directory.
 
@@ -105,6 +116,7 @@
     is_current: bool = False
     revision: int = 0
     version: int = 0
+    crash_revision: int = 0
     evacuated: frozenset[str] | None = None
     entries: tuple[EntryInfo, ...] | None = None
     controls: tuple[ControlInfo, ...] | None = None
@@ -160,6 +172,8 @@
                     is_available=status.is_available,
                     reader=stream,
                 )
+                if not status.crash_report.is_empty:
+                    self._source.take_crash_report(status.crash_report)
 
     async def _write_updates(self, hello: Hello, stream: FrameStream) -> None:
         sent = _SentState(version=hello.version)
@@ -202,6 +216,10 @@
         if is_current and source.evacuated != sent.evacuated:
             evacuated = tuple(sorted(source.evacuated))
             sent.evacuated = source.evacuated
+        crash_histories: tuple[CrashHistory, ...] = ()
+        if not is_control:
+            crash_histories = source.crash_histories_since(sent.crash_revision)
+            sent.crash_revision = source.crash_revision
         entries = source.entries(only_held_here=is_control)
         changed, gone = _diff_entries(sent.entries or (), entries)
         controls = source.controls()
@@ -218,6 +236,7 @@
             entries_gone=gone,
             controls=controls if controls != sent.controls else None,
             collected_ms=source.collected_ms,
+            crash_histories=crash_histories,
         )
         sent.is_first = False
         sent.is_current = is_current
--- a/packages/cuminbendd/src/cuminbendd/feed/tests/_fakes.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/tests/_fakes.py
@@ -39,12 +39,17 @@
         self.evacuated: frozenset[str] = frozenset()
         self.collected_ms = 0.0
         self.revision = 0
+        self.crash_revision = 0
         self.directory_entries = ENTRIES
 
     def changes_since(self, revision, *, only_held_here):
         """Return no registrations."""
         return ()
 
+    def crash_histories_since(self, revision):
+        """Return no crash histories."""
+        return ()
+
     def entries(self, *, only_held_here):
         """Return the directory."""
         return self.directory_entries
