--- a/packages/cuminbend/src/cuminbend/crashes/tests/test_suspects.py
+++ b/packages/cuminbend/src/cuminbend/crashes/tests/test_suspects.py
@@ -1,29 +1,12 @@
 """Tests of what an instance knows and reports, against a record on virtual time."""
 
-from datetime import UTC, datetime, timedelta
-
 from cuminbend.crashes import CrashSettings, CrashSuspects, CrashTable, Verdict
 from cuminbend.crashes.tests.test_table import crash
+from cuminbend.ports.tests._clock import SettableClock
 
 QUARANTINE_MS = 1000.0
 
 
-class SettableClock:
-    """A clock that a test sets."""
-
-    def __init__(self) -> None:
-        self.now_ms = 0.0
-
-    def now(self) -> datetime:
-        return datetime(2026, 1, 5, tzinfo=UTC)
-
-    def monotonic_ms(self) -> float:
-        return self.now_ms
-
-    async def sleep(self, delay: timedelta) -> None:
-        raise NotImplementedError
-
-
 def new_suspects(clock: SettableClock | None = None) -> CrashSuspects:
     return CrashSuspects(
         settings=CrashSettings(quarantine_ms=QUARANTINE_MS),
--- a/packages/cuminbend/src/cuminbend/forwarding/tests/test_retry_budgets.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/tests/test_retry_budgets.py
@@ -1,33 +1,17 @@
 """Tests of retry budgets over all instances, on virtual time."""
 
 import random
-from datetime import UTC, datetime, timedelta
 
 import pytest
 
 from cuminbend.forwarding import RetryBudgets, RetryBudgetSettings
+from cuminbend.ports.tests._clock import SettableClock
 
 WINDOW_MS = 10_000.0
 RATIO = 0.2
 STEP_MS = 100.0
 
 
-class SettableClock:
-    """A clock that a test sets."""
-
-    def __init__(self) -> None:
-        self.now_ms = 0.0
-
-    def now(self) -> datetime:
-        return datetime(2026, 1, 5, tzinfo=UTC)
-
-    def monotonic_ms(self) -> float:
-        return self.now_ms
-
-    async def sleep(self, delay: timedelta) -> None:
-        raise NotImplementedError
-
-
 class Fleet:
     """Instances that share the budget of one service.
 
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/ports/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes of the ports that tests share."""
