--- a/packages/cuminbend/src/cuminbend/forwarding/__init__.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/__init__.py
@@ -27,6 +27,7 @@
     WeightedService,
     check_routing_table,
 )
+from cuminbend.forwarding._stated_limits import parse_limit
 from cuminbend.forwarding._weights import WeightedRoundRobin
 
 __all__ = [
@@ -53,6 +54,7 @@
     "admission_probability",
     "check_routing_table",
     "merge_greatest_records",
+    "parse_limit",
     "plan_fan_out",
     "retry_after_ms",
     "fan_out_capacity_wait_ms",
--- a/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -75,6 +75,8 @@
         reported_ms: Time of that report.
         slowness: Moving average of the latency divided by the median of the route.
         failure_rate: Moving average of failed attempts, 0 to 1.
+        stated_limit_per_s: Requests a second from all instances that the upstream last
+            said it takes, None if it states no limit.
     """
 
     __slots__ = (
@@ -96,6 +98,7 @@
         "slots",
         "slowness",
         "state",
+        "stated_limit_per_s",
         "upstream",
     )
 
@@ -124,6 +127,7 @@
         self.overdue = 0
         self.slowness = 1.0
         self.failure_rate = 0.0
+        self.stated_limit_per_s: float | None = None
         self.running = 0
         self.queued = 0
         self.reported_ms = float("-inf")
--- a/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from cuminbend.forwarding import HedgeDelay, Replica
+from cuminbend.forwarding import HedgeDelay, Replica, parse_limit
 
 from cuminbendd.entry._pool import ConnectionPool
 from cuminbendd.http1 import FailureKind, UpstreamConnection, UpstreamResponse
@@ -141,6 +141,7 @@
         load = response.header(header_names.load)
         if load is not None:
             self._record_load(load, now_ms)
+        self._record_limit(response)
         if response.status == HTTPStatus.MISDIRECTED_REQUEST:
             self._directory.remove_misdirected(self.replica)
             self._finish(Outcome.NOT_RUN, response)
@@ -219,6 +220,35 @@
                 running=int(fields[0]), queued=int(fields[1]), now_ms=now_ms
             )
 
+    def _record_limit(self, response: UpstreamResponse) -> None:
+        """Record the limit that an answer states; an answer without one ends it.
+
+        A rejection may come from a part of the upstream that does not know the limit,
+        so it ends none.
+        """
+        header_names = self._directory.header_names
+        value = response.header(header_names.limit)
+        if value is None and (
+            response.status == HTTPStatus.MISDIRECTED_REQUEST
+            or response.header(header_names.not_run) is not None
+        ):
+            return
+        replica = self.replica
+        limit_per_s = parse_limit(value) if value is not None else None
+        if limit_per_s == replica.stated_limit_per_s:
+            return
+        logger.info(
+            "event=limit_stated upstream=%s service=%s request=%s value=%s "
+            "limit_per_s=%s previous=%s",
+            replica.upstream,
+            replica.service,
+            self.request_id.decode("latin-1"),
+            (value or b"").decode("latin-1"),
+            limit_per_s,
+            replica.stated_limit_per_s,
+        )
+        replica.stated_limit_per_s = limit_per_s
+
     def _finish(self, outcome: Outcome, response: UpstreamResponse | None) -> None:
         if self.is_done:
             return
--- a/packages/cuminbendd/src/cuminbendd/entry/_header_names.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_header_names.py
@@ -21,6 +21,8 @@
         not_run: Present on a rejection by an upstream that did not run the request.
         load: Running requests, waiting requests and slots of an upstream, separated by
             commas.
+        limit: Requests a second that an upstream in need takes from all instances
+            together, a decimal number; absent if it states no limit.
         part_stamps: Signatures of the parts of a merged answer, separated by commas.
         missing_parts: Number of shards without a part in a merged answer; absent if
             there is none.
@@ -32,9 +34,15 @@
     stamp: bytes = b"x-stamp"
     not_run: bytes = b"x-not-run"
     load: bytes = b"x-load"
+    limit: bytes = b"x-limit"
     part_stamps: bytes = b"x-part-stamps"
     missing_parts: bytes = b"x-missing-parts"
 
+    @property
+    def statements(self) -> tuple[bytes, ...]:
+        """Headers in which an upstream describes itself; callers do not get them."""
+        return (self.load, self.limit)
+
     @property
     def response_header_names(self) -> ResponseHeaderNames:
         """Names of the headers that a connection to an upstream reads."""
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -184,7 +184,7 @@
                 HttpResponse(HTTPStatus.BAD_GATEWAY, []), "unsigned", attempt
             )
             return
-        headers = end_to_end_headers(response.headers, dropped=(header_names.load,))
+        headers = end_to_end_headers(response.headers, dropped=header_names.statements)
         self._send_answer(
             HttpResponse(response.status, headers, response.body), "answered", attempt
         )
@@ -194,7 +194,7 @@
         if self._last_error is not None:
             error = self._last_error
             headers = end_to_end_headers(
-                error.headers, dropped=(self._context.header_names.load,)
+                error.headers, dropped=self._context.header_names.statements
             )
             self._send_answer(HttpResponse(error.status, headers, error.body), "error")
         elif self._counts.possibly_run_count:
