--- a/packages/cuminbend/src/cuminbend/forwarding/__init__.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/__init__.py
@@ -27,7 +27,12 @@
     WeightedService,
     check_routing_table,
 )
-from cuminbend.forwarding._stated_limits import parse_limit
+from cuminbend.forwarding._stated_limits import (
+    LimitShare,
+    StatedLimitSettings,
+    parse_limit,
+    sender_rates,
+)
 from cuminbend.forwarding._weights import WeightedRoundRobin
 
 __all__ = [
@@ -35,6 +40,7 @@
     "AttemptCounts",
     "CallerLimits",
     "FanOutPlan",
+    "LimitShare",
     "PartCollector",
     "HedgeDelay",
     "ShardPart",
@@ -49,6 +55,7 @@
     "Route",
     "RoutingTable",
     "ServicePolicy",
+    "StatedLimitSettings",
     "WeightedRoundRobin",
     "WeightedService",
     "admission_probability",
@@ -57,5 +64,6 @@
     "parse_limit",
     "plan_fan_out",
     "retry_after_ms",
+    "sender_rates",
     "fan_out_capacity_wait_ms",
 ]
--- a/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from cuminbend.forwarding._stated_limits import LimitShare
+
 # Greatest ratio of an answer's latency to the median that is recorded; a greater ratio
 # is recorded as this value.
 _MAX_LATENCY_RATIO = 20.0
@@ -75,8 +77,8 @@
         reported_ms: Time of that report.
         slowness: Moving average of the latency divided by the median of the route.
         failure_rate: Moving average of failed attempts, 0 to 1.
-        stated_limit_per_s: Requests a second from all instances that the upstream last
-            said it takes, None if it states no limit.
+        limit_share: Part of this instance in the limit on requests that the upstream
+            states, None if it states none.
     """
 
     __slots__ = (
@@ -89,6 +91,7 @@
         "failure_rate",
         "in_flight",
         "incarnation_ms",
+        "limit_share",
         "overdue",
         "queued",
         "reported_ms",
@@ -98,7 +101,6 @@
         "slots",
         "slowness",
         "state",
-        "stated_limit_per_s",
         "upstream",
     )
 
@@ -127,7 +129,7 @@
         self.overdue = 0
         self.slowness = 1.0
         self.failure_rate = 0.0
-        self.stated_limit_per_s: float | None = None
+        self.limit_share: LimitShare | None = None
         self.running = 0
         self.queued = 0
         self.reported_ms = float("-inf")
@@ -202,8 +204,12 @@
         reported = self.running + self.queued if is_fresh else 0
         excess = max(self.in_flight, reported) + 1 - self.slots
         drain_ms = max(0, excess) / self.slots * service_ms * self.slowness
+        limit_ms = self.limit_share.wait_ms(now_ms) if self.limit_share else 0.0
         return max(
-            drain_ms, self.backoff_until_ms - now_ms, self.cold_until_ms - now_ms
+            drain_ms,
+            limit_ms,
+            self.backoff_until_ms - now_ms,
+            self.cold_until_ms - now_ms,
         )
 
     def score(self, now_ms: float, data_centre: str) -> float:
@@ -296,11 +302,15 @@
     def serving_data_centres(
         self, *, now_ms: float, evacuated: Collection[str] = ()
     ) -> frozenset[str]:
-        """Return the data centres with a warm or cold replica that accepts requests."""
+        """Return the data centres with a warm or cold replica that accepts requests.
+
+        A replica whose stated limit allows a request only later is included: the
+        expected wait decides whether that is too late.
+        """
         return frozenset(
             replica.data_centre
             for replica in self.replicas
-            if self._accepts_requests(replica, now_ms, evacuated)
+            if self._is_available(replica, now_ms, evacuated)
         )
 
     def has_warm_replica_by(
@@ -338,6 +348,7 @@
                 for replica in self.replicas
                 if replica.state is ReplicaState.READY
                 and replica.data_centre not in evacuated
+                and (replica.limit_share is None or replica.limit_share.is_sender)
             ),
             default=None,
         )
@@ -362,10 +373,18 @@
 
     def _accepts_requests(
         self, replica: Replica, now_ms: float, evacuated: Collection[str]
+    ) -> bool:
+        return self._is_available(replica, now_ms, evacuated) and (
+            replica.limit_share is None or not replica.limit_share.wait_ms(now_ms)
+        )
+
+    def _is_available(
+        self, replica: Replica, now_ms: float, evacuated: Collection[str]
     ) -> bool:
         return (
             replica.state is ReplicaState.READY
             and replica.backoff_until_ms <= now_ms
             and replica.overdue < replica.settings.max_overdue
             and replica.data_centre not in evacuated
+            and (replica.limit_share is None or replica.limit_share.is_sender)
         )
--- /dev/null
+++ b/packages/cuminbend/src/cuminbend/registry/_limits.py
@@ -0,0 +1,74 @@
+"""Limits that upstreams state in answers, merged over all instances."""
+
+from collections.abc import Container
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitStatement:
+    """What an upstream last said of the requests that it takes.
+
+    Attributes:
+        upstream: Identity of the upstream.
+        incarnation_ms: Start time of the process, which distinguishes it from others
+            with the same identity.
+        limit_per_s: Requests a second from all instances together, None without limit.
+    """
+
+    upstream: str
+    incarnation_ms: int
+    limit_per_s: float | None
+
+
+class LimitTable:
+    """The latest statement of each upstream, with a revision for each change.
+
+    Statements have no order of their own, so the one that arrives last holds. An
+    instance that hears something else from the upstream reports that again.
+
+    Attributes:
+        revision: Number of the last change.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[str, tuple[int, LimitStatement, bool]] = {}
+        self.revision = 0
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def record(self, statement: LimitStatement, *, is_held_here: bool) -> bool:
+        """Record a statement; return whether it changes anything.
+
+        Args:
+            statement: What an upstream said.
+            is_held_here: Whether an entry instance reported it to this instance, not to
+                another control instance.
+        """
+        row = self._rows.get(statement.upstream)
+        if row is not None:
+            known = row[1]
+            if statement.incarnation_ms < known.incarnation_ms or statement == known:
+                return False
+        self.revision += 1
+        self._rows.pop(statement.upstream, None)
+        self._rows[statement.upstream] = (self.revision, statement, is_held_here)
+        return True
+
+    def changes_since(
+        self, revision: int, *, only_held_here: bool = False
+    ) -> tuple[LimitStatement, ...]:
+        """Return the statements that changed after a revision, oldest change first."""
+        changes = []
+        for changed_at, statement, is_held_here in reversed(self._rows.values()):
+            if changed_at <= revision:
+                break
+            if is_held_here or not only_held_here:
+                changes.append(statement)
+        return tuple(reversed(changes))
+
+    def retain(self, registered: Container[str]) -> None:
+        """Forget the statements of upstreams that are no longer registered."""
+        for upstream in tuple(self._rows):
+            if upstream not in registered:
+                del self._rows[upstream]
--- a/packages/cuminbendd/src/cuminbendd/control/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_instance.py
@@ -14,7 +14,12 @@
     StoredConfiguration,
 )
 from cuminbend.ports import Clock, Disk
-from cuminbend.registry import Registration, RegistrationTable
+from cuminbend.registry import (
+    LimitStatement,
+    LimitTable,
+    Registration,
+    RegistrationTable,
+)
 
 from cuminbendd.channel import ChannelServer, FrameStream, parse_address
 from cuminbendd.control._crash_reports import CrashReports
@@ -83,6 +88,7 @@
         self._registrations = RegistrationTable(
             holder=settings.channel_address, silent_after_ms=settings.silent_after_ms
         )
+        self._limits = LimitTable()
         self._known_instances = KnownInstances(
             own_info=self._own_info, entry_retention_ms=settings.entry_retention_ms
         )
@@ -181,6 +187,7 @@
             self._report_contact_change()
             self._update_peer_feeds()
             self._leaves.retain(self._registrations)
+            self._limits.retain(self._registrations)
             if silent_registrations:
                 self._feed_server.notify()
 
@@ -272,9 +279,11 @@
         previous_revision = self._registrations.revision
         for registration in update.registrations:
             self._registrations.merge(registration, now_ms=now_ms)
+        has_new_limit = self._record_limits(update.limits, is_held_here=False)
         if (
             self._registrations.revision != previous_revision
             or update.entries is not None
+            or has_new_limit
         ):
             self._feed_server.notify()
 
@@ -341,6 +350,42 @@
         """Record what an entry instance observed of crashing requests."""
         self._crash_reports.take(report)
 
+    @property
+    def limits_revision(self) -> int:
+        """Revision of the stated limits; it grows with each change."""
+        return self._limits.revision
+
+    def limits_since(
+        self, revision: int, *, only_held_here: bool
+    ) -> tuple[LimitStatement, ...]:
+        """Return the stated limits that changed after a revision."""
+        return self._limits.changes_since(revision, only_held_here=only_held_here)
+
+    def take_limits(self, statements: tuple[LimitStatement, ...]) -> None:
+        """Record limits that upstreams stated to an entry instance."""
+        if self._record_limits(statements, is_held_here=True):
+            self._feed_server.notify()
+
+    def _record_limits(
+        self, statements: tuple[LimitStatement, ...], *, is_held_here: bool
+    ) -> bool:
+        changes = [
+            statement
+            for statement in statements
+            if statement.upstream in self._registrations
+            and self._limits.record(statement, is_held_here=is_held_here)
+        ]
+        for statement in changes:
+            logger.info(
+                "event=limit_passed_on upstream=%s incarnation_ms=%d limit_per_s=%s "
+                "is_held_here=%s",
+                statement.upstream,
+                statement.incarnation_ms,
+                statement.limit_per_s,
+                is_held_here,
+            )
+        return bool(changes)
+
     def entries(self, *, only_held_here: bool = False) -> tuple[EntryInfo, ...]:
         """Return the entry instances in the directory, sorted by name.
 
--- a/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
@@ -233,21 +233,17 @@
             or response.header(header_names.not_run) is not None
         ):
             return
-        replica = self.replica
         limit_per_s = parse_limit(value) if value is not None else None
-        if limit_per_s == replica.stated_limit_per_s:
-            return
-        logger.info(
-            "event=limit_stated upstream=%s service=%s request=%s value=%s "
-            "limit_per_s=%s previous=%s",
-            replica.upstream,
-            replica.service,
-            self.request_id.decode("latin-1"),
-            (value or b"").decode("latin-1"),
-            limit_per_s,
-            replica.stated_limit_per_s,
-        )
-        replica.stated_limit_per_s = limit_per_s
+        if self._directory.record_limit(self.replica, limit_per_s):
+            logger.info(
+                "event=limit_stated upstream=%s service=%s request=%s value=%s "
+                "limit_per_s=%s",
+                self.replica.upstream,
+                self.replica.service,
+                self.request_id.decode("latin-1"),
+                (value or b"").decode("latin-1"),
+                limit_per_s,
+            )
 
     def _finish(self, outcome: Outcome, response: UpstreamResponse | None) -> None:
         if self.is_done:
--- a/packages/cuminbendd/src/cuminbendd/entry/_cold.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_cold.py
@@ -3,7 +3,7 @@
 import hashlib
 from collections.abc import Iterable
 
-from cuminbend.budgets import TokenBudget
+from cuminbend.budgets import RateBudget
 
 from cuminbendd.entry._settings import EntrySettings
 
@@ -36,7 +36,7 @@
 
     def __init__(self, *, settings: EntrySettings) -> None:
         self._settings = settings
-        self._limits: dict[str, _RateLimit] = {}
+        self._limits: dict[str, RateBudget] = {}
 
     def try_acquire(
         self, upstream: str, declared_per_s: float, *, now_ms: float
@@ -54,23 +54,11 @@
             rate_per_s = max(
                 declared_per_s * settings.cold_safety, settings.cold_rate_per_s
             )
-            limit = self._limits[upstream] = _RateLimit(rate_per_s)
-        return limit.try_acquire(now_ms)
+            limit = self._limits[upstream] = RateBudget(
+                rate_per_s=rate_per_s, now_ms=now_ms
+            )
+        return limit.try_spend(now_ms)
 
     def remove(self, upstream: str) -> None:
         """Remove the limit of an upstream that is gone, if there is one."""
         self._limits.pop(upstream, None)
-
-
-class _RateLimit:
-    """A token bucket that holds at most one token and refills with time."""
-
-    def __init__(self, rate_per_s: float) -> None:
-        self._budget = TokenBudget(ratio=rate_per_s / 1000, burst=1.0)
-        self._refilled_ms: float | None = None
-
-    def try_acquire(self, now_ms: float) -> bool:
-        if self._refilled_ms is not None:
-            self._budget.earn(int(now_ms - self._refilled_ms))
-        self._refilled_ms = now_ms
-        return self._budget.try_spend()
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -311,6 +311,7 @@
             is_active=self._upstreams.is_active,
             version=self.version,
             crash_report=self._suspects.report(),
+            limits=self._upstreams.report_limits(),
         )
 
     def on_update(self, source: str, update: Update) -> None:
@@ -350,6 +351,8 @@
             self._upstreams.merge_registrations(
                 update.registrations, is_full=update.is_full
             )
+        if update.limits or update.is_full:
+            self._upstreams.merge_limits(update.limits, is_full=update.is_full)
 
     def on_source_lost(self, source: str) -> None:
         """Keep the present state until another control instance is found."""
--- a/packages/cuminbendd/src/cuminbendd/entry/_settings.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_settings.py
@@ -7,6 +7,7 @@
     PlacementSettings,
     RecoverySettings,
     RetryBudgetSettings,
+    StatedLimitSettings,
 )
 
 
@@ -60,6 +61,7 @@
     retries: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
     recovery: RecoverySettings = field(default_factory=RecoverySettings)
     crashes: CrashSettings = field(default_factory=CrashSettings)
+    stated_limits: StatedLimitSettings = field(default_factory=StatedLimitSettings)
     link_mbps: float = 1000.0
     answer_margin_ms: float = 2.5
     answer_margin_share: float = 0.02
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -15,7 +15,7 @@
     ServicePolicy,
 )
 from cuminbend.ports import Clock
-from cuminbend.registry import Registration, UpstreamState
+from cuminbend.registry import LimitStatement, Registration, UpstreamState
 
 from cuminbendd.channel import parse_address
 from cuminbendd.entry._cold import ColdRateLimits, is_designated_sender
@@ -23,6 +23,7 @@
 from cuminbendd.entry._header_names import HeaderNames
 from cuminbendd.entry._pool import ConnectionPool
 from cuminbendd.entry._settings import EntrySettings
+from cuminbendd.entry._stated_limits import StatedLimits
 from cuminbendd.http1 import ResponseMemory
 from cuminbendd.metrics import Metrics
 
@@ -81,6 +82,9 @@
         self._entries: dict[str, str] = {settings.instance: settings.data_centre}
         self._active_entries = frozenset({settings.instance})
         self._cold_limits = ColdRateLimits(settings=settings)
+        self._stated_limits = StatedLimits(
+            own_instance=settings.instance, settings=settings.stated_limits
+        )
         self._last_news_ms = clock.monotonic_ms()
         self._warm_up_count = 0
 
@@ -116,6 +120,9 @@
         self._active_entries = choose_active_entries(
             self._entries, active_entry_count(limits)
         )
+        self._stated_limits.set_senders(
+            self._active_entries, now_ms=self.clock.monotonic_ms()
+        )
         self._resize_pools()
         if self.is_active and not was_active:
             for pool in self._pools.values():
@@ -268,6 +275,7 @@
     def _remove_upstream(self, upstream: str, *, cause: str) -> None:
         self._unconfirmed_since_ms.pop(upstream, None)
         self._cold_limits.remove(upstream)
+        self._stated_limits.remove(upstream)
         pool = self._pools.pop(upstream, None)
         if pool is None:
             return
@@ -291,6 +299,37 @@
         )
         self._remove_upstream(replica.upstream, cause="misdirected")
 
+    # Limits that upstreams state
+
+    def record_limit(self, replica: Replica, limit_per_s: float | None) -> bool:
+        """Record the limit that an answer states; return whether it is a new one.
+
+        Args:
+            replica: The upstream; one that was removed meanwhile is ignored.
+            limit_per_s: Requests a second from all instances, None without limit.
+        """
+        pool = self._pools.get(replica.upstream)
+        if pool is None or pool.replica is not replica:
+            return False
+        return self._stated_limits.record_answer(
+            replica, limit_per_s, now_ms=self.clock.monotonic_ms()
+        )
+
+    def merge_limits(
+        self, statements: Iterable[LimitStatement], *, is_full: bool
+    ) -> None:
+        """Apply limits that upstreams stated to other instances."""
+        self._stated_limits.merge(
+            statements,
+            {upstream: pool.replica for upstream, pool in self._pools.items()},
+            is_full=is_full,
+            now_ms=self.clock.monotonic_ms(),
+        )
+
+    def report_limits(self) -> tuple[LimitStatement, ...]:
+        """Return the stated limits that the control group has yet to pass on."""
+        return self._stated_limits.report()
+
     # Limits
     #
     # Standby instances are many. They keep no idle connections, because together these
@@ -438,6 +477,7 @@
                 break
             pool = self._pools[replica.upstream]
             if pool.has_capacity:
+                self._count_request(replica, now_ms)
                 return pool
             full_upstreams.append(replica.upstream)
         if only_free:
@@ -460,8 +500,13 @@
             replica.upstream, declared_per_s, now_ms=now_ms
         ):
             return None
+        self._count_request(replica, now_ms)
         return self._pools[replica.upstream]
 
+    def _count_request(self, replica: Replica, now_ms: float) -> None:
+        if replica.limit_share is not None:
+            replica.limit_share.spend(now_ms)
+
     def is_designated_for(self, name: str) -> bool:
         """Return whether this active instance alone does a task with this name."""
         return is_designated_sender(
@@ -490,6 +535,8 @@
                 state = "cold"
             elif replica.backoff_until_ms > now_ms:
                 state = "backing_off"
+            elif replica.limit_share is not None:
+                state = "limited"
             data_centre = replica.data_centre
             counts[f"upstreams{{state={state},data_centre={data_centre}}}"] += 1
             counts["upstream_connections"] += pool.size
@@ -513,6 +560,11 @@
                     "connections": pool.size,
                     "in_flight": pool.replica.in_flight,
                     "overdue": pool.replica.overdue,
+                    "limit_per_s": (
+                        pool.replica.limit_share.limit_per_s
+                        if pool.replica.limit_share
+                        else None
+                    ),
                     "slowness": round(pool.replica.slowness, 2),
                     "failure_rate": round(pool.replica.failure_rate, 2),
                 }
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_stated_limits.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_stated_limits.py
@@ -11,9 +11,10 @@
     RecoverySettings,
     RoutingTable,
     ServicePolicy,
+    parse_limit,
 )
 from cuminbend.ports.tests._clock import SettableClock
-from cuminbend.registry import Registration, UpstreamState
+from cuminbend.registry import LimitTable, Registration, UpstreamState
 
 from cuminbendd.entry import EntrySettings, HeaderNames
 from cuminbendd.entry._attempts import Attempt
@@ -64,6 +65,8 @@
         self.clock = SettableClock()
         self.limit_per_s = limit_per_s
         self.arrivals_ms: list[float] = []
+        self._record = LimitTable()
+        self._sent_revision = 0
         self.names = [f"e{number}" for number in range(instance_count)]
         self.directories = {name: self._new_directory(name) for name in self.names}
         self.set_entries(self.names)
@@ -104,10 +107,17 @@
         """Start an instance anew; it serves once it has the first news."""
         self.directories[name] = self._new_directory(name)
         self.set_entries(list(self.directories))
-        self.exchange_news()
+        self.directories[name].merge_limits(self._record.changes_since(0), is_full=True)
 
     def exchange_news(self) -> None:
         """Let all instances learn what one of them has heard."""
+        for directory in self.directories.values():
+            for statement in directory.report_limits():
+                self._record.record(statement, is_held_here=True)
+        changes = self._record.changes_since(self._sent_revision)
+        self._sent_revision = self._record.revision
+        for directory in self.directories.values():
+            directory.merge_limits(changes, is_full=False)
 
     def run(self, duration_ms: float, *, load_per_s: float) -> None:
         """Send requests at random instances to the upstream for a time."""
@@ -190,3 +200,46 @@
         fleet.replace_instance(name)
         fleet.run(1500.0, load_per_s=40.0)
     assert fleet.most_in_window(GRACE_MS) <= allowed_in_window(5.0)
+
+
+@pytest.mark.parametrize(("instance_count", "limit_per_s"), [(8, 9.1), (8, 1.1)])
+def test_stated_limit_is_used(instance_count: int, limit_per_s: float) -> None:
+    """Guards against parts of the limit that are lost among the instances."""
+    fleet = LimitedFleet(instance_count, limit_per_s)
+    fleet.run(5000.0, load_per_s=10 * limit_per_s)
+    start_ms = fleet.clock.now_ms
+    fleet.run(20_000.0, load_per_s=10 * limit_per_s)
+    sent = sum(time_ms > start_ms for time_ms in fleet.arrivals_ms)
+    assert sent >= 0.8 * limit_per_s * 20.0
+
+
+def test_end_of_a_limit_reaches_all_instances() -> None:
+    """Guards against an upstream that stays out of use after its need has ended."""
+    fleet = LimitedFleet(40, 0.0)
+    fleet.run(8000.0, load_per_s=60.0)
+    fleet.limit_per_s = None
+    fleet.run(12_000.0, load_per_s=60.0)
+    start_ms = fleet.clock.now_ms
+    fleet.run(2000.0, load_per_s=60.0)
+    sent = sum(time_ms > start_ms for time_ms in fleet.arrivals_ms)
+    assert sent == pytest.approx(120, rel=0.3)
+    for directory in fleet.directories.values():
+        assert directory.report_limits() == ()
+
+
+@pytest.mark.parametrize(
+    "value", [b"-1", b"nan", b"inf", b"1e400", b"many", b"", b"1,5", b"9" * 400]
+)
+def test_unusable_statement_limits_nothing(value: bytes) -> None:
+    """Guards against a statement that stops an instance or takes an upstream out."""
+    assert parse_limit(value) is None
+
+
+def test_limit_that_changes_with_each_answer_is_kept() -> None:
+    """Guards against reports and shares that grow with the changes of a limit."""
+    fleet = LimitedFleet(8, 5.0)
+    for step in range(100):
+        fleet.limit_per_s = 5.0 if step % 2 else 50.0
+        fleet.run(100.0, load_per_s=40.0)
+        for directory in fleet.directories.values():
+            assert len(directory.report_limits()) <= 1
--- a/packages/cuminbendd/src/cuminbendd/feed/_messages.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from cuminbend.crashes import CrashHistory, CrashReport
-from cuminbend.registry import Registration
+from cuminbend.registry import LimitStatement, Registration
 
 from cuminbendd.channel import Codec
 
@@ -71,6 +71,7 @@
         is_active: Whether it holds connections to upstreams.
         version: Version of the configuration that it uses.
         crash_report: Crashes of upstreams that the control group has yet to record.
+        limits: Limits that upstreams stated and the control group has yet to pass on.
     """
 
     is_available: bool
@@ -78,6 +79,7 @@
     is_active: bool
     version: int
     crash_report: CrashReport = CrashReport()
+    limits: tuple[LimitStatement, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -102,6 +104,7 @@
             received heartbeats of upstreams; None from a version that does not state
             it.
         crash_histories: Requests whose crashes of upstreams have changed.
+        limits: Limits that upstreams have newly stated.
     """
 
     is_current: bool
@@ -115,6 +118,7 @@
     controls: tuple[ControlInfo, ...] | None = None
     collected_ms: float | None = None
     crash_histories: tuple[CrashHistory, ...] = ()
+    limits: tuple[LimitStatement, ...] = ()
 
 
 # Messages of the feed; control instances exchange further ones.
--- a/packages/cuminbendd/src/cuminbendd/feed/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_server.py
@@ -9,7 +9,7 @@
 from cuminbend.exceptions import ChannelError
 from cuminbend.newest import StoredConfiguration
 from cuminbend.ports import Clock
-from cuminbend.registry import Registration
+from cuminbend.registry import LimitStatement, Registration
 
 from cuminbendd.channel import FrameStream
 from cuminbendd.feed._messages import (
@@ -74,6 +74,23 @@
     def take_crash_report(self, report: CrashReport) -> None:
         """Record what an entry instance observed of crashing requests."""
 
+    @property
+    def limits_revision(self) -> int:
+        """Revision of the stated limits; it grows with each change."""
+
+    def limits_since(
+        self, revision: int, *, only_held_here: bool
+    ) -> tuple[LimitStatement, ...]:
+        """Return the stated limits that changed after a revision.
+
+        Args:
+            revision: Revision up to which the changes are left out.
+            only_held_here: Leave out limits that another control instance passed on.
+        """
+
+    def take_limits(self, statements: tuple[LimitStatement, ...]) -> None:
+        """Record limits that upstreams stated to an entry instance."""
+
     def entries(self, *, only_held_here: bool) -> tuple[EntryInfo, ...]:
         """Return the entry instances in the directory.
 
@@ -117,6 +134,7 @@
     revision: int = 0
     version: int = 0
     crash_revision: int = 0
+    limits_revision: int = 0
     evacuated: frozenset[str] | None = None
     entries: tuple[EntryInfo, ...] | None = None
     controls: tuple[ControlInfo, ...] | None = None
@@ -174,6 +192,8 @@
                 )
                 if not status.crash_report.is_empty:
                     self._source.take_crash_report(status.crash_report)
+                if status.limits:
+                    self._source.take_limits(status.limits)
 
     async def _write_updates(self, hello: Hello, stream: FrameStream) -> None:
         sent = _SentState(version=hello.version)
@@ -237,7 +257,9 @@
             controls=controls if controls != sent.controls else None,
             collected_ms=source.collected_ms,
             crash_histories=crash_histories,
+            limits=source.limits_since(sent.limits_revision, only_held_here=is_control),
         )
+        sent.limits_revision = source.limits_revision
         sent.is_first = False
         sent.is_current = is_current
         sent.revision = source.revision
--- a/packages/cuminbendd/src/cuminbendd/feed/tests/_fakes.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/tests/_fakes.py
@@ -40,6 +40,7 @@
         self.collected_ms = 0.0
         self.revision = 0
         self.crash_revision = 0
+        self.limits_revision = 0
         self.directory_entries = ENTRIES
 
     def changes_since(self, revision, *, only_held_here):
@@ -50,6 +51,10 @@
         """Return no crash histories."""
         return ()
 
+    def limits_since(self, revision, *, only_held_here):
+        """Return no stated limits."""
+        return ()
+
     def entries(self, *, only_held_here):
         """Return the directory."""
         return self.directory_entries
