--- a/packages/cuminbendd/src/cuminbendd/channel/_frames.py
+++ b/packages/cuminbendd/src/cuminbendd/channel/_frames.py
@@ -22,6 +22,8 @@
 # processor time than the saved bytes are worth.
 _MIN_COMPRESSED_BYTES = 512
 _COMPRESSION_LEVEL = 1
+_MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
 
 
 class Frame(msgspec.Struct, array_like=True):
@@ -147,12 +149,13 @@
     """Return host and port of ``host:port``.
 
     Raises:
-        ValueError: If the host or the port is missing, or the port is not a
-            number.
+        ValueError: If the host is missing, or the port is not a decimal number from 0
+            (any free port) to 65535.
     """
     host, separator, port = address.rpartition(":")
-    if not separator or not host:
-        raise ValueError(f"{address!r} is no address; write host:port")
+    is_number = port.isascii() and port.isdigit() and len(port) <= _MAX_PORT_DIGITS
+    if not separator or not host or not is_number or int(port) > _MAX_PORT:
+        raise ValueError(f"{address[:100]!r} is no address; write host:port")
     return host, int(port)
 
 
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_single.py
@@ -31,6 +31,19 @@
     return reply
 
 
+def test_registration_with_a_port_out_of_range_is_ignored() -> None:
+    """Guards against an upstream whose requests wait for a connection for ever."""
+
+    async def scenario() -> None:
+        good = FakeUpstream("u1", "s")
+        async with EntryHarness(good) as harness:
+            odd = harness.registration(good, upstream="u2", address="127.0.0.1:99999")
+            harness.announce(odd)
+            assert set(harness.entry._upstreams._pools) == {"u1"}
+
+    run(scenario)
+
+
 def test_request_is_forwarded_unchanged() -> None:
     """Guards against a method, path, query, header or body changed on the way."""
     upstream = FakeUpstream("u1", "s")
