--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_single.py
@@ -1,6 +1,7 @@
 """Tests of requests that are answered by one upstream."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from cuminbend.registry import UpstreamState
@@ -37,7 +38,9 @@
     async def scenario() -> None:
         good = FakeUpstream("u1", "s")
         async with EntryHarness(good) as harness:
-            odd = harness.registration(good, upstream="u2", address="127.0.0.1:99999")
+            odd = replace(
+                harness.registration(good), upstream="u2", address="127.0.0.1:99999"
+            )
             harness.announce(odd)
             assert set(harness.entry._upstreams._pools) == {"u1"}
 
