--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -1,5 +1,6 @@
 """Context and helpers that single and fanned-out requests share."""
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -40,6 +41,9 @@
     }
 )
 
+# Time before a planned stop by which its last requests are answered.
+_STOP_MARGIN_MS = 50.0
+
 _rng = random.Random()
 
 
@@ -73,6 +77,8 @@
 
     Attributes:
         table: Configuration in force, or None before the first one.
+        stop_at_ms: Monotonic time at which this instance stops, infinity while no stop
+            is planned.
         peers: Instances that can query shards for this one, or None if this instance
             does not delegate.
     """
@@ -95,6 +101,7 @@
         self.retry_budgets = retry_budgets
         self.clock = upstreams.clock
         self.table: RoutingTable | None = None
+        self.stop_at_ms = math.inf
         self._route_states: dict[str, RouteState] = {}
 
     def set_table(self, table: RoutingTable) -> None:
@@ -113,6 +120,10 @@
         self._route_states = states
         self.table = table
 
+    def can_end_before_stop(self, route: Route) -> bool:
+        """Return whether a request that starts now is likely to end before a stop."""
+        return self.clock.monotonic_ms() + route.objective_ms < self.stop_at_ms
+
     def hedge_delay_of(self, route: str) -> HedgeDelay | None:
         """Return the hedge delay of a route, or None if the route is not configured."""
         state = self._route_states.get(route)
@@ -123,6 +134,7 @@
         deadline_ms = request_deadline_ms(
             request, header_names=self.header_names, route=route
         )
+        deadline_ms = min(deadline_ms, self.stop_at_ms - _STOP_MARGIN_MS)
         return PreparedRequest.from_request(
             request, header_names=self.header_names, deadline_ms=deadline_ms
         )
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -158,18 +158,20 @@
         """Leave the directory, finish the requests in flight, and close.
 
         Callers that still use an older list of addresses are served until that list
-        has expired. Requests that are in flight after ``stop_ms`` are cut off.
+        has expired. A request that comes too late to end within ``stop_ms`` is refused
+        at once; one that is still in flight then is answered with a failure.
         """
         logger.info("event=stopping instance=%s", self.settings.instance)
         self._is_stopping = True
         self.server.drain()
         self._feed.notify()
         settings = self.settings
-        start_ms = self._clock.monotonic_ms()
+        stop_at_ms = self._clock.monotonic_ms() + settings.stop_ms
+        self._context.stop_at_ms = stop_at_ms
         await asyncio.sleep(settings.drain_ms / 1000)
         self.server.close_idle_connections()
         while self.server.busy_connection_count or self._helper.open_task_count:
-            if self._clock.monotonic_ms() - start_ms > settings.stop_ms:
+            if self._clock.monotonic_ms() > stop_at_ms:
                 break
             await asyncio.sleep(_STOP_POLL_S)
         logger.info(
@@ -177,6 +179,7 @@
             settings.instance,
             self.server.busy_connection_count,
         )
+        self.server.end_requests(HttpResponse(HTTPStatus.GATEWAY_TIMEOUT, []))
         self.close()
 
     def close(self) -> None:
@@ -233,6 +236,16 @@
             )
             responder.respond(HttpResponse(HTTPStatus.NOT_FOUND, []))
             return
+        if not context.can_end_before_stop(route):
+            logger.info(
+                "event=request_ended request=%s route=%s outcome=stopping status=503",
+                (request.header(context.header_names.request_id) or b"").decode(
+                    "latin-1"
+                ),
+                route.name,
+            )
+            responder.respond(rejection_response(capacity_wait_ms=0.0))
+            return
         request_class = FanOutRequest if route.shards else SingleRequest
         request_class(
             context=context, route=route, request=request, responder=responder
--- a/packages/cuminbendd/src/cuminbendd/http1/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/_server.py
@@ -58,6 +58,14 @@
         self.is_done = True
         self._connection.send(response)
 
+    def end(self, response: HttpResponse) -> None:
+        """Send an answer in place of the handler, which learns that nobody waits."""
+        if self.is_done:
+            return
+        self.respond(response)
+        if self.on_abandoned is not None:
+            self.on_abandoned()
+
     def abandon(self) -> None:
         """Record that the caller closed its connection, and call ``on_abandoned``."""
         if self.is_done:
@@ -141,6 +149,16 @@
             if not connection.is_busy:
                 connection.close()
 
+    def end_requests(self, response: HttpResponse) -> None:
+        """Answer the request that each connection works on, and reject those behind it.
+
+        Called before all connections are closed, so that callers learn which requests
+        have not run.
+        """
+        self.handler = _reject_unhandled
+        for connection in tuple(self.connections):
+            connection.end_request(response)
+
     async def finish_requests(self) -> None:
         """Stop listening and wait until all requests are answered."""
         self.close_idle_connections()
@@ -268,6 +286,11 @@
         if self._transport is not None:
             self._transport.close()
 
+    def end_request(self, response: HttpResponse) -> None:
+        """Answer the current request in place of the handler."""
+        if self._current_responder is not None:
+            self._current_responder.end(response)
+
     def close_if_overdue(self, now_ms: float, limits: CallerLimits) -> None:
         """Close the connection if it has been idle or its request is overdue."""
         if self._current_responder is not None or self._is_closing:
@@ -394,6 +417,10 @@
         self.close()
 
 
+def _reject_unhandled(request: HttpRequest, responder: Responder) -> None:
+    responder.respond(HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE, []))
+
+
 def _round_trip_ms(transport: asyncio.Transport) -> float:
     """Return the round trip that the kernel has measured, 0 if it is not available."""
     connection = transport.get_extra_info("socket")
