--- a/packages/cuminbendd/src/cuminbendd/entry/_delegation.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_delegation.py
@@ -36,6 +36,10 @@
 _ACCEPT_GRACE_S = 0.001
 
 
+# Longer than any request runs. An instance that lost power never finishes its tasks.
+_RETIREMENT_LIMIT_S = 10.0
+
+
 class Delegation:
     """One group of shards that one other instance queries.
 
@@ -79,6 +83,7 @@
         self._timers: dict[int, asyncio.TimerHandle] = {}
         self._last_task_id = 0
         self._suspect_until_ms = 0.0
+        self._is_retired = False
         self.round_trip_ms = _INITIAL_ROUND_TRIP_MS
 
     @property
@@ -87,6 +92,7 @@
         return (
             self._connection is not None
             and self._connection.is_open
+            and not self._is_retired
             and not self.info.is_busy
             and self._suspect_until_ms <= self._clock.monotonic_ms()
         )
@@ -97,7 +103,9 @@
         return len(self._tasks)
 
     def connect(self) -> None:
-        """Start to connect unless connected, connecting or suspect."""
+        """Start to connect unless connected, connecting, suspect or retired."""
+        if self._is_retired:
+            return
         if self._connection is not None and self._connection.is_open:
             return
         if self._connect_task is not None and not self._connect_task.done():
@@ -142,6 +150,15 @@
             limit_ms / 1000, self._on_accept_timeout, task_id
         )
 
+    def retire(self) -> None:
+        """Give the instance no more tasks, and close once it has finished its tasks."""
+        self._is_retired = True
+        if self._tasks:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_RETIREMENT_LIMIT_S, self.close)
+        else:
+            self.close()
+
     def close(self) -> None:
         """Close the connection."""
         if self._connect_task is not None:
@@ -234,6 +251,8 @@
         timer = self._timers.pop(task_id, None)
         if timer is not None:
             timer.cancel()
+        if self._is_retired and not self._tasks:
+            self.close()
 
     def _fail_delegation(self, delegation: Delegation) -> None:
         if delegation.is_open:
@@ -264,7 +283,8 @@
             and entry.instance != self._own_instance
         }
         for name in set(self._peers) - set(helper_entries):
-            self._peers.pop(name).close()
+            # An instance that stops as planned leaves the directory first.
+            self._peers.pop(name).retire()
         for name, entry in helper_entries.items():
             peer = self._peers.get(name)
             if peer is None or peer.info.helper_address != entry.helper_address:
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
@@ -146,6 +146,29 @@
     run(test)
 
 
+@pytest.mark.usefixtures("long_accept_timeout")
+def test_helper_that_leaves_the_directory_finishes_its_groups() -> None:
+    """Guards against parts that a planned stop of another instance throws away."""
+
+    async def test() -> None:
+        async with RequesterAndHelper() as pair:
+            release = delay_replies(pair.upstreams[5])
+            answer_task = asyncio.ensure_future(pair.requester.send_request())
+            await wait_until(lambda: pair.helper.entry._helper.open_task_count == 1)
+            entry = pair.requester.entry
+            own = EntryInfo(instance="e1", address="x:1", data_centre="a")
+            entry.on_update("c", Update(is_current=True, entries=(own,)))
+            assert entry._peers.usable_counts() == {}
+            release.set()
+            answer = await answer_task
+            assert answer.status == 200
+            assert b"x-missing-parts" not in answer.headers
+            # The connection is closed once it is not needed.
+            await wait_until(lambda: not pair.helper.entry._helper._tasks)
+
+    run(test)
+
+
 @pytest.mark.usefixtures("long_accept_timeout")
 def test_helper_answers_in_time_with_available_parts() -> None:
     """Guards against a whole group that is missing because of one late part."""
