--- a/packages/cuminbend/src/cuminbend/consensus/tests/test_disks.py
+++ b/packages/cuminbend/src/cuminbend/consensus/tests/test_disks.py
@@ -1,5 +1,7 @@
 """Tests of disks that are full, slow, hanging or damaged, and of long logs."""
 
+import random
+
 import anyio
 import pytest
 
@@ -70,6 +72,44 @@
     run_cluster_test(test)
 
 
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("fails_all_writes", [False, True])
+def test_full_disks_one_after_another(seed: int, fails_all_writes: bool) -> None:
+    """Guards against a group that accepts nothing after all disks have room again.
+
+    Snapshots are taken meanwhile, and some instances restart, before or after their disk
+    has room again.
+    """
+    rng = random.Random(seed)
+
+    async def test(cluster: Cluster) -> None:
+        cluster.start()
+        await cluster.commit_commands(5)
+        instances = list(cluster.instances.values())
+        rng.shuffle(instances)
+        for instance in (*instances, *instances):
+            instance.disk.is_full = True
+            instance.disk.fails_all_writes = fails_all_writes
+            for _ in range(rng.randrange(1, 30)):
+                await cluster.propose(200)
+                await anyio.sleep(rng.uniform(0, 0.2))
+            restart = rng.choice(("none", "none", "while_full", "with_room"))
+            if restart != "none":
+                instance.kill()
+            if restart == "while_full":
+                instance.start()
+                await anyio.sleep(rng.uniform(0, 0.5))
+            instance.disk.is_full = instance.disk.fails_all_writes = False
+            if not instance.is_up:
+                # A process that cannot write at its start ends, and is started again.
+                instance.start()
+            await anyio.sleep(rng.uniform(0, 0.3))
+        await cluster.commit_commands(5)
+        await cluster.wait_until_converged()
+
+    run_cluster_test(test, snapshot_after_entries=20)
+
+
 def test_leader_with_a_hanging_disk() -> None:
     """Guards against a leader that still sends heartbeats but can no longer write."""
 
