--- a/packages/cuminbend/src/cuminbend/consensus/tests/test_disks.py
+++ b/packages/cuminbend/src/cuminbend/consensus/tests/test_disks.py
@@ -77,8 +77,8 @@
 def test_full_disks_one_after_another(seed: int, fails_all_writes: bool) -> None:
     """Guards against a group that accepts nothing after all disks have room again.
 
-    Snapshots are taken meanwhile, and some instances restart, before or after their disk
-    has room again.
+    Snapshots are taken meanwhile, and some instances restart, before or after there is
+    room again.
     """
     rng = random.Random(seed)
 
--- a/packages/cuminbend/src/cuminbend/registry/__init__.py
+++ b/packages/cuminbend/src/cuminbend/registry/__init__.py
@@ -1,17 +1,17 @@
 """Registry of the upstreams that announce themselves by heartbeats."""
 
 from cuminbend.registry._leave_quorum import LeaveQuorum
-from cuminbend.registry._limits import LimitStatement, LimitTable
 from cuminbend.registry._registrations import (
     Registration,
     RegistrationTable,
     UpstreamState,
 )
+from cuminbend.registry._statements import StatementTable, UpstreamStatement
 
 __all__ = [
     "LeaveQuorum",
-    "LimitStatement",
-    "LimitTable",
+    "UpstreamStatement",
+    "StatementTable",
     "Registration",
     "RegistrationTable",
     "UpstreamState",
--- a/packages/cuminbend/src/cuminbend/registry/_limits.py
+++ b/packages/cuminbend/src/cuminbend/registry/_statements.py
@@ -5,7 +5,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class LimitStatement:
+class UpstreamStatement:
     """What an upstream last said of the requests that it takes.
 
     Attributes:
@@ -20,7 +20,7 @@
     limit_per_s: float | None
 
 
-class LimitTable:
+class StatementTable:
     """The latest statement of each upstream, with a revision for each change.
 
     Statements have no order of their own, so the one that arrives last holds. An
@@ -31,13 +31,13 @@
     """
 
     def __init__(self) -> None:
-        self._rows: dict[str, tuple[int, LimitStatement, bool]] = {}
+        self._rows: dict[str, tuple[int, UpstreamStatement, bool]] = {}
         self.revision = 0
 
     def __len__(self) -> int:
         return len(self._rows)
 
-    def record(self, statement: LimitStatement, *, is_held_here: bool) -> bool:
+    def record(self, statement: UpstreamStatement, *, is_held_here: bool) -> bool:
         """Record a statement; return whether it changes anything.
 
         Args:
@@ -57,7 +57,7 @@
 
     def changes_since(
         self, revision: int, *, only_held_here: bool = False
-    ) -> tuple[LimitStatement, ...]:
+    ) -> tuple[UpstreamStatement, ...]:
         """Return the statements that changed after a revision, oldest change first."""
         changes = []
         for changed_at, statement, is_held_here in reversed(self._rows.values()):
--- a/packages/cuminbendd/src/cuminbendd/control/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_instance.py
@@ -15,10 +15,10 @@
 )
 from cuminbend.ports import Clock, Disk
 from cuminbend.registry import (
-    LimitStatement,
-    LimitTable,
     Registration,
     RegistrationTable,
+    StatementTable,
+    UpstreamStatement,
 )
 
 from cuminbendd.channel import ChannelServer, FrameStream, parse_address
@@ -88,7 +88,7 @@
         self._registrations = RegistrationTable(
             holder=settings.channel_address, silent_after_ms=settings.silent_after_ms
         )
-        self._limits = LimitTable()
+        self._statements = StatementTable()
         self._known_instances = KnownInstances(
             own_info=self._own_info, entry_retention_ms=settings.entry_retention_ms
         )
@@ -187,7 +187,7 @@
             self._report_contact_change()
             self._update_peer_feeds()
             self._leaves.retain(self._registrations)
-            self._limits.retain(self._registrations)
+            self._statements.retain(self._registrations)
             if silent_registrations:
                 self._feed_server.notify()
 
@@ -279,11 +279,11 @@
         previous_revision = self._registrations.revision
         for registration in update.registrations:
             self._registrations.merge(registration, now_ms=now_ms)
-        has_new_limit = self._record_limits(update.limits, is_held_here=False)
+        has_new_statement = self._record_statements(update.statements, is_held_here=False)
         if (
             self._registrations.revision != previous_revision
             or update.entries is not None
-            or has_new_limit
+            or has_new_statement
         ):
             self._feed_server.notify()
 
@@ -351,29 +351,29 @@
         self._crash_reports.take(report)
 
     @property
-    def limits_revision(self) -> int:
+    def statements_revision(self) -> int:
         """Revision of the stated limits; it grows with each change."""
-        return self._limits.revision
+        return self._statements.revision
 
-    def limits_since(
+    def statements_since(
         self, revision: int, *, only_held_here: bool
-    ) -> tuple[LimitStatement, ...]:
+    ) -> tuple[UpstreamStatement, ...]:
         """Return the stated limits that changed after a revision."""
-        return self._limits.changes_since(revision, only_held_here=only_held_here)
+        return self._statements.changes_since(revision, only_held_here=only_held_here)
 
-    def take_limits(self, statements: tuple[LimitStatement, ...]) -> None:
+    def take_statements(self, statements: tuple[UpstreamStatement, ...]) -> None:
         """Record limits that upstreams stated to an entry instance."""
-        if self._record_limits(statements, is_held_here=True):
+        if self._record_statements(statements, is_held_here=True):
             self._feed_server.notify()
 
-    def _record_limits(
-        self, statements: tuple[LimitStatement, ...], *, is_held_here: bool
+    def _record_statements(
+        self, statements: tuple[UpstreamStatement, ...], *, is_held_here: bool
     ) -> bool:
         changes = [
             statement
             for statement in statements
             if statement.upstream in self._registrations
-            and self._limits.record(statement, is_held_here=is_held_here)
+            and self._statements.record(statement, is_held_here=is_held_here)
         ]
         for statement in changes:
             logger.info(
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -324,7 +324,7 @@
             is_active=self._upstreams.is_active,
             version=self.version,
             crash_report=self._suspects.report(),
-            limits=self._upstreams.report_limits(),
+            statements=self._upstreams.report_statements(),
         )
 
     def on_update(self, source: str, update: Update) -> None:
@@ -364,8 +364,8 @@
             self._upstreams.merge_registrations(
                 update.registrations, is_full=update.is_full
             )
-        if update.limits or update.is_full:
-            self._upstreams.merge_limits(update.limits, is_full=update.is_full)
+        if update.statements or update.is_full:
+            self._upstreams.merge_statements(update.statements, is_full=update.is_full)
 
     def on_source_lost(self, source: str) -> None:
         """Keep the present state until another control instance is found."""
--- a/packages/cuminbendd/src/cuminbendd/entry/_stated_limits.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_statements.py
@@ -9,7 +9,7 @@
     StatedLimitSettings,
     sender_rates,
 )
-from cuminbend.registry import LimitStatement
+from cuminbend.registry import UpstreamStatement
 
 logger = logging.getLogger(__name__)
 
@@ -19,7 +19,7 @@
 _MAX_REPORTED = 256
 
 
-class StatedLimits:
+class StatementSharing:
     """Merges what this instance hears from upstreams with what others have heard.
 
     What arrives last holds. A statement heard here is reported until the control group
@@ -35,8 +35,8 @@
         self._settings = settings
         self._senders: Collection[str] = (own_instance,)
         self._limited: dict[str, Replica] = {}
-        self._unconfirmed: dict[str, LimitStatement] = {}
-        self._passed_on: dict[str, LimitStatement] = {}
+        self._unconfirmed: dict[str, UpstreamStatement] = {}
+        self._passed_on: dict[str, UpstreamStatement] = {}
 
     def record_answer(
         self, replica: Replica, limit_per_s: float | None, *, now_ms: float
@@ -61,7 +61,7 @@
 
     def merge(
         self,
-        statements: Iterable[LimitStatement],
+        statements: Iterable[UpstreamStatement],
         replicas: dict[str, Replica],
         *,
         is_full: bool,
@@ -92,7 +92,7 @@
                 if upstream not in self._passed_on:
                     self._unconfirmed[upstream] = _statement_of(replica)
 
-    def report(self) -> tuple[LimitStatement, ...]:
+    def report(self) -> tuple[UpstreamStatement, ...]:
         """Return what the control group has yet to pass on."""
         return tuple(self._unconfirmed.values())[:_MAX_REPORTED]
 
@@ -147,9 +147,9 @@
     return abs(limit_per_s - known_per_s) > _MIN_REPORTED_CHANGE * known_per_s
 
 
-def _statement_of(replica: Replica) -> LimitStatement:
+def _statement_of(replica: Replica) -> UpstreamStatement:
     share = replica.limit_share
-    return LimitStatement(
+    return UpstreamStatement(
         upstream=replica.upstream,
         incarnation_ms=replica.incarnation_ms,
         limit_per_s=share.limit_per_s if share else None,
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -15,7 +15,7 @@
     ServicePolicy,
 )
 from cuminbend.ports import Clock
-from cuminbend.registry import LimitStatement, Registration, UpstreamState
+from cuminbend.registry import Registration, UpstreamState, UpstreamStatement
 
 from cuminbendd.channel import parse_address
 from cuminbendd.entry._cold import ColdRateLimits, is_designated_sender
@@ -23,7 +23,7 @@
 from cuminbendd.entry._header_names import HeaderNames
 from cuminbendd.entry._pool import ConnectionPool
 from cuminbendd.entry._settings import EntrySettings
-from cuminbendd.entry._stated_limits import StatedLimits
+from cuminbendd.entry._statements import StatementSharing
 from cuminbendd.http1 import ResponseMemory
 from cuminbendd.metrics import Metrics
 
@@ -82,7 +82,7 @@
         self._entries: dict[str, str] = {settings.instance: settings.data_centre}
         self._active_entries = frozenset({settings.instance})
         self._cold_limits = ColdRateLimits(settings=settings)
-        self._stated_limits = StatedLimits(
+        self._statements = StatementSharing(
             own_instance=settings.instance, settings=settings.stated_limits
         )
         self._last_news_ms = clock.monotonic_ms()
@@ -120,7 +120,7 @@
         self._active_entries = choose_active_entries(
             self._entries, active_entry_count(limits)
         )
-        self._stated_limits.set_senders(
+        self._statements.set_senders(
             self._active_entries, now_ms=self.clock.monotonic_ms()
         )
         self._resize_pools()
@@ -275,7 +275,7 @@
     def _remove_upstream(self, upstream: str, *, cause: str) -> None:
         self._unconfirmed_since_ms.pop(upstream, None)
         self._cold_limits.remove(upstream)
-        self._stated_limits.remove(upstream)
+        self._statements.remove(upstream)
         pool = self._pools.pop(upstream, None)
         if pool is None:
             return
@@ -311,24 +311,24 @@
         pool = self._pools.get(replica.upstream)
         if pool is None or pool.replica is not replica:
             return False
-        return self._stated_limits.record_answer(
+        return self._statements.record_answer(
             replica, limit_per_s, now_ms=self.clock.monotonic_ms()
         )
 
-    def merge_limits(
-        self, statements: Iterable[LimitStatement], *, is_full: bool
+    def merge_statements(
+        self, statements: Iterable[UpstreamStatement], *, is_full: bool
     ) -> None:
         """Apply limits that upstreams stated to other instances."""
-        self._stated_limits.merge(
+        self._statements.merge(
             statements,
             {upstream: pool.replica for upstream, pool in self._pools.items()},
             is_full=is_full,
             now_ms=self.clock.monotonic_ms(),
         )
 
-    def report_limits(self) -> tuple[LimitStatement, ...]:
+    def report_statements(self) -> tuple[UpstreamStatement, ...]:
         """Return the stated limits that the control group has yet to pass on."""
-        return self._stated_limits.report()
+        return self._statements.report()
 
     # Limits
     #
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_stated_limits.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_stated_limits.py
@@ -14,7 +14,7 @@
     parse_limit,
 )
 from cuminbend.ports.tests._clock import SettableClock
-from cuminbend.registry import LimitTable, Registration, UpstreamState
+from cuminbend.registry import Registration, StatementTable, UpstreamState
 
 from cuminbendd.entry import EntrySettings, HeaderNames
 from cuminbendd.entry._attempts import Attempt
@@ -65,7 +65,7 @@
         self.clock = SettableClock()
         self.limit_per_s = limit_per_s
         self.arrivals_ms: list[float] = []
-        self._record = LimitTable()
+        self._record = StatementTable()
         self._sent_revision = 0
         self.names = [f"e{number}" for number in range(instance_count)]
         self.directories = {name: self._new_directory(name) for name in self.names}
@@ -107,17 +107,19 @@
         """Start an instance anew; it serves once it has the first news."""
         self.directories[name] = self._new_directory(name)
         self.set_entries(list(self.directories))
-        self.directories[name].merge_limits(self._record.changes_since(0), is_full=True)
+        self.directories[name].merge_statements(
+            self._record.changes_since(0), is_full=True
+        )
 
     def exchange_news(self) -> None:
         """Let all instances learn what one of them has heard."""
         for directory in self.directories.values():
-            for statement in directory.report_limits():
+            for statement in directory.report_statements():
                 self._record.record(statement, is_held_here=True)
         changes = self._record.changes_since(self._sent_revision)
         self._sent_revision = self._record.revision
         for directory in self.directories.values():
-            directory.merge_limits(changes, is_full=False)
+            directory.merge_statements(changes, is_full=False)
 
     def run(self, duration_ms: float, *, load_per_s: float) -> None:
         """Send requests at random instances to the upstream for a time."""
@@ -224,7 +226,7 @@
     sent = sum(time_ms > start_ms for time_ms in fleet.arrivals_ms)
     assert sent == pytest.approx(120, rel=0.3)
     for directory in fleet.directories.values():
-        assert directory.report_limits() == ()
+        assert directory.report_statements() == ()
 
 
 @pytest.mark.parametrize(
@@ -242,4 +244,4 @@
         fleet.limit_per_s = 5.0 if step % 2 else 50.0
         fleet.run(100.0, load_per_s=40.0)
         for directory in fleet.directories.values():
-            assert len(directory.report_limits()) <= 1
+            assert len(directory.report_statements()) <= 1
--- a/packages/cuminbendd/src/cuminbendd/feed/_messages.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from cuminbend.crashes import CrashHistory, CrashReport
-from cuminbend.registry import LimitStatement, Registration
+from cuminbend.registry import Registration, UpstreamStatement
 
 from cuminbendd.channel import Codec
 
@@ -71,7 +71,7 @@
         is_active: Whether it holds connections to upstreams.
         version: Version of the configuration that it uses.
         crash_report: Crashes of upstreams that the control group has yet to record.
-        limits: Limits that upstreams stated and the control group has yet to pass on.
+        statements: What upstreams stated and the control group has yet to pass on.
     """
 
     is_available: bool
@@ -79,7 +79,7 @@
     is_active: bool
     version: int
     crash_report: CrashReport = CrashReport()
-    limits: tuple[LimitStatement, ...] = ()
+    statements: tuple[UpstreamStatement, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -104,7 +104,7 @@
             received heartbeats of upstreams; None from a version that does not state
             it.
         crash_histories: Requests whose crashes of upstreams have changed.
-        limits: Limits that upstreams have newly stated.
+        statements: What upstreams have newly stated of themselves.
     """
 
     is_current: bool
@@ -118,7 +118,7 @@
     controls: tuple[ControlInfo, ...] | None = None
     collected_ms: float | None = None
     crash_histories: tuple[CrashHistory, ...] = ()
-    limits: tuple[LimitStatement, ...] = ()
+    statements: tuple[UpstreamStatement, ...] = ()
 
 
 # Messages of the feed; control instances exchange further ones.
--- a/packages/cuminbendd/src/cuminbendd/feed/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_server.py
@@ -9,7 +9,7 @@
 from cuminbend.exceptions import ChannelError
 from cuminbend.newest import StoredConfiguration
 from cuminbend.ports import Clock
-from cuminbend.registry import LimitStatement, Registration
+from cuminbend.registry import Registration, UpstreamStatement
 
 from cuminbendd.channel import FrameStream
 from cuminbendd.feed._messages import (
@@ -75,12 +75,12 @@
         """Record what an entry instance observed of crashing requests."""
 
     @property
-    def limits_revision(self) -> int:
+    def statements_revision(self) -> int:
         """Revision of the stated limits; it grows with each change."""
 
-    def limits_since(
+    def statements_since(
         self, revision: int, *, only_held_here: bool
-    ) -> tuple[LimitStatement, ...]:
+    ) -> tuple[UpstreamStatement, ...]:
         """Return the stated limits that changed after a revision.
 
         Args:
@@ -88,7 +88,7 @@
             only_held_here: Leave out limits that another control instance passed on.
         """
 
-    def take_limits(self, statements: tuple[LimitStatement, ...]) -> None:
+    def take_statements(self, statements: tuple[UpstreamStatement, ...]) -> None:
         """Record limits that upstreams stated to an entry instance."""
 
     def entries(self, *, only_held_here: bool) -> tuple[EntryInfo, ...]:
@@ -134,7 +134,7 @@
     revision: int = 0
     version: int = 0
     crash_revision: int = 0
-    limits_revision: int = 0
+    statements_revision: int = 0
     evacuated: frozenset[str] | None = None
     entries: tuple[EntryInfo, ...] | None = None
     controls: tuple[ControlInfo, ...] | None = None
@@ -192,8 +192,8 @@
                 )
                 if not status.crash_report.is_empty:
                     self._source.take_crash_report(status.crash_report)
-                if status.limits:
-                    self._source.take_limits(status.limits)
+                if status.statements:
+                    self._source.take_statements(status.statements)
 
     async def _write_updates(self, hello: Hello, stream: FrameStream) -> None:
         sent = _SentState(version=hello.version)
@@ -257,9 +257,11 @@
             controls=controls if controls != sent.controls else None,
             collected_ms=source.collected_ms,
             crash_histories=crash_histories,
-            limits=source.limits_since(sent.limits_revision, only_held_here=is_control),
+            statements=source.statements_since(
+                sent.statements_revision, only_held_here=is_control
+            ),
         )
-        sent.limits_revision = source.limits_revision
+        sent.statements_revision = source.statements_revision
         sent.is_first = False
         sent.is_current = is_current
         sent.revision = source.revision
--- a/packages/cuminbendd/src/cuminbendd/feed/tests/_fakes.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/tests/_fakes.py
@@ -40,7 +40,7 @@
         self.collected_ms = 0.0
         self.revision = 0
         self.crash_revision = 0
-        self.limits_revision = 0
+        self.statements_revision = 0
         self.directory_entries = ENTRIES
 
     def changes_since(self, revision, *, only_held_here):
@@ -51,7 +51,7 @@
         """Return no crash histories."""
         return ()
 
-    def limits_since(self, revision, *, only_held_here):
+    def statements_since(self, revision, *, only_held_here):
         """Return no stated limits."""
         return ()
 
