--- a/packages/cuminbend/src/cuminbend/forwarding/__init__.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/__init__.py
@@ -2,6 +2,7 @@
 
 from cuminbend.forwarding._admission import admission_probability
 from cuminbend.forwarding._attempt_counts import AttemptCounts
+from cuminbend.forwarding._back_off import parse_pause_ms
 from cuminbend.forwarding._delegation import FanOutPlan, plan_fan_out
 from cuminbend.forwarding._gather import (
     RECORD_BYTES,
@@ -62,6 +63,7 @@
     "check_routing_table",
     "merge_greatest_records",
     "parse_limit",
+    "parse_pause_ms",
     "plan_fan_out",
     "retry_after_ms",
     "sender_rates",
--- a/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from cuminbend.forwarding._back_off import LEAVING_RETENTION_MS
 from cuminbend.forwarding._stated_limits import LimitShare
 
 # Greatest ratio of an answer's latency to the median that is recorded; a greater ratio
@@ -16,6 +17,10 @@
 _MIN_DECAY_INTERVAL_MS = 50.0
 
 
+# Added to the score of a replica that says that it leaves; above any other score.
+_LEAVING_COST = 1e6
+
+
 class ReplicaState(StrEnum):
     """Whether an upstream accepts new requests."""
 
@@ -43,6 +48,8 @@
         max_overdue: Number of overdue attempts at which a replica gets no new ones.
         queue_max_age_ms: Age up to which a reported queue is used to compare replicas;
             queues of short requests change quickly.
+        leaving_use_ms: Time for which a replica that says that it leaves may still get
+            requests that no other one takes.
         load_max_age_ms: Age up to which a reported load is used to decide whether a
             replica is free.
     """
@@ -57,6 +64,7 @@
     max_overdue: int = 3
     queue_max_age_ms: float = 100.0
     load_max_age_ms: float = 200.0
+    leaving_use_ms: float = 1000.0
 
 
 class Replica:
@@ -77,6 +85,9 @@
         reported_ms: Time of that report.
         slowness: Moving average of the latency divided by the median of the route.
         failure_rate: Moving average of failed attempts, 0 to 1.
+        pause_until_ms: Time until which the upstream has asked for no requests.
+        leaving_since_ms: Time at which the upstream was first heard to leave, None if
+            it was not.
         limit_share: Part of this instance in the limit on requests that the upstream
             states, None if it states none.
     """
@@ -91,8 +102,10 @@
         "failure_rate",
         "in_flight",
         "incarnation_ms",
+        "leaving_since_ms",
         "limit_share",
         "overdue",
+        "pause_until_ms",
         "queued",
         "reported_ms",
         "running",
@@ -129,6 +142,8 @@
         self.overdue = 0
         self.slowness = 1.0
         self.failure_rate = 0.0
+        self.pause_until_ms = 0.0
+        self.leaving_since_ms: float | None = None
         self.limit_share: LimitShare | None = None
         self.running = 0
         self.queued = 0
@@ -166,6 +181,36 @@
         self.record_error(now_ms=now_ms)
         self.backoff_until_ms = max(self.backoff_until_ms, now_ms + pause_ms)
 
+    def record_pause(self, *, now_ms: float, pause_ms: float) -> None:
+        """Record that the replica asks for no requests for a time.
+
+        Answers to earlier requests do not end the pause.
+        """
+        self.pause_until_ms = max(self.pause_until_ms, now_ms + pause_ms)
+
+    def record_leaving(self, *, now_ms: float) -> bool:
+        """Record that the replica says that it leaves; return whether that is new."""
+        if self.is_leaving_at(now_ms):
+            return False
+        self.leaving_since_ms = now_ms
+        return True
+
+    def is_leaving_at(self, now_ms: float) -> bool:
+        """Return whether the replica has said lately that it leaves."""
+        return (
+            self.leaving_since_ms is not None
+            and now_ms - self.leaving_since_ms < LEAVING_RETENTION_MS
+        )
+
+    def takes_requests_at(self, now_ms: float) -> bool:
+        """Return whether a request may be sent, by what the replica has stated."""
+        if self.state is not ReplicaState.READY or self.pause_until_ms > now_ms:
+            return False
+        if not self.is_leaving_at(now_ms):
+            return True
+        assert self.leaving_since_ms is not None
+        return now_ms - self.leaving_since_ms < self.settings.leaving_use_ms
+
     def record_unanswered_attempt(self, *, now_ms: float) -> None:
         """Record a failed connection, or an attempt that was never answered."""
         self.record_error(now_ms=now_ms)
@@ -209,6 +254,7 @@
             drain_ms,
             limit_ms,
             self.backoff_until_ms - now_ms,
+            self.pause_until_ms - now_ms,
             self.cold_until_ms - now_ms,
         )
 
@@ -275,6 +321,9 @@
     ) -> Replica | None:
         """Return the warm replica with the lowest score that accepts requests, or None.
 
+        A replica that says that it leaves is chosen only if no other one accepts the
+        request, and not if ``only_free`` is set.
+
         Args:
             now_ms: Monotonic time.
             excluded: Upstreams to which this request was sent before.
@@ -295,6 +344,10 @@
             if only_free and not replica.is_free(now_ms):
                 continue
             score = replica.score(now_ms, self._data_centre)
+            if replica.is_leaving_at(now_ms):
+                if only_free:
+                    continue
+                score += _LEAVING_COST
             if score < best_score:
                 best, best_score = replica, score
         return best
@@ -346,7 +399,7 @@
             (
                 max(0.0, replica.ready_in_ms(now_ms=now_ms, service_ms=service_ms))
                 for replica in self.replicas
-                if replica.state is ReplicaState.READY
+                if replica.takes_requests_at(max(now_ms, replica.pause_until_ms))
                 and replica.data_centre not in evacuated
                 and (replica.limit_share is None or replica.limit_share.is_sender)
             ),
@@ -382,7 +435,7 @@
         self, replica: Replica, now_ms: float, evacuated: Collection[str]
     ) -> bool:
         return (
-            replica.state is ReplicaState.READY
+            replica.takes_requests_at(now_ms)
             and replica.backoff_until_ms <= now_ms
             and replica.overdue < replica.settings.max_overdue
             and replica.data_centre not in evacuated
--- a/packages/cuminbend/src/cuminbend/registry/_statements.py
+++ b/packages/cuminbend/src/cuminbend/registry/_statements.py
@@ -1,30 +1,33 @@
-"""Limits that upstreams state in answers, merged over all instances."""
+"""What upstreams state of themselves in answers, merged over all instances."""
 
 from collections.abc import Container
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamStatement:
-    """What an upstream last said of the requests that it takes.
+    """What an upstream last said of itself.
 
     Attributes:
         upstream: Identity of the upstream.
         incarnation_ms: Start time of the process, which distinguishes it from others
             with the same identity.
         limit_per_s: Requests a second from all instances together, None without limit.
+        is_leaving: Whether it is about to end.
     """
 
     upstream: str
     incarnation_ms: int
     limit_per_s: float | None
+    is_leaving: bool = False
 
 
 class StatementTable:
     """The latest statement of each upstream, with a revision for each change.
 
     Statements have no order of their own, so the one that arrives last holds. An
-    instance that hears something else from the upstream reports that again.
+    instance that hears something else from the upstream reports that again. That a
+    process leaves holds until it ends.
 
     Attributes:
         revision: Number of the last change.
@@ -48,6 +51,8 @@
         row = self._rows.get(statement.upstream)
         if row is not None:
             known = row[1]
+            if statement.incarnation_ms == known.incarnation_ms and known.is_leaving:
+                statement = replace(statement, is_leaving=True)
             if statement.incarnation_ms < known.incarnation_ms or statement == known:
                 return False
         self.revision += 1
--- a/packages/cuminbendd/src/cuminbendd/control/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_instance.py
@@ -279,7 +279,9 @@
         previous_revision = self._registrations.revision
         for registration in update.registrations:
             self._registrations.merge(registration, now_ms=now_ms)
-        has_new_statement = self._record_statements(update.statements, is_held_here=False)
+        has_new_statement = self._record_statements(
+            update.statements, is_held_here=False
+        )
         if (
             self._registrations.revision != previous_revision
             or update.entries is not None
@@ -352,17 +354,17 @@
 
     @property
     def statements_revision(self) -> int:
-        """Revision of the stated limits; it grows with each change."""
+        """Revision of the statements; it grows with each change."""
         return self._statements.revision
 
     def statements_since(
         self, revision: int, *, only_held_here: bool
     ) -> tuple[UpstreamStatement, ...]:
-        """Return the stated limits that changed after a revision."""
+        """Return the statements that changed after a revision."""
         return self._statements.changes_since(revision, only_held_here=only_held_here)
 
     def take_statements(self, statements: tuple[UpstreamStatement, ...]) -> None:
-        """Record limits that upstreams stated to an entry instance."""
+        """Record what upstreams stated to an entry instance."""
         if self._record_statements(statements, is_held_here=True):
             self._feed_server.notify()
 
@@ -377,11 +379,12 @@
         ]
         for statement in changes:
             logger.info(
-                "event=limit_passed_on upstream=%s incarnation_ms=%d limit_per_s=%s "
-                "is_held_here=%s",
+                "event=statement_passed_on upstream=%s incarnation_ms=%d "
+                "limit_per_s=%s is_leaving=%s is_held_here=%s",
                 statement.upstream,
                 statement.incarnation_ms,
                 statement.limit_per_s,
+                statement.is_leaving,
                 is_held_here,
             )
         return bool(changes)
--- a/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_attempts.py
@@ -6,7 +6,12 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from cuminbend.forwarding import HedgeDelay, Replica, parse_limit
+from cuminbend.forwarding import (
+    HedgeDelay,
+    Replica,
+    parse_limit,
+    parse_pause_ms,
+)
 
 from cuminbendd.entry._pool import ConnectionPool
 from cuminbendd.http1 import FailureKind, UpstreamConnection, UpstreamResponse
@@ -127,7 +132,11 @@
 
     def encode(self) -> bytes | None:
         """Return the bytes to send, or None if the attempt is to be dropped."""
-        data = self._encode(self)
+        # The upstream may have asked for no more requests while this one was queued.
+        is_refused = not self.replica.takes_requests_at(
+            self._directory.clock.monotonic_ms()
+        )
+        data = None if is_refused else self._encode(self)
         if data is None:
             self._finish(Outcome.NOT_RUN, None)
             return None
@@ -141,7 +150,7 @@
         load = response.header(header_names.load)
         if load is not None:
             self._record_load(load, now_ms)
-        self._record_limit(response)
+        self._record_statements(response, now_ms)
         if response.status == HTTPStatus.MISDIRECTED_REQUEST:
             self._directory.remove_misdirected(self.replica)
             self._finish(Outcome.NOT_RUN, response)
@@ -220,6 +229,37 @@
                 running=int(fields[0]), queued=int(fields[1]), now_ms=now_ms
             )
 
+    def _record_statements(self, response: UpstreamResponse, now_ms: float) -> None:
+        """Record what the answer says about the upstream itself.
+
+        Another upstream may have answered with 421.
+        """
+        if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        self._record_limit(response)
+        replica, directory = self.replica, self._directory
+        is_leaving = response.header(directory.header_names.leaving) is not None
+        if is_leaving and directory.record_leaving(replica):
+            logger.info(
+                "event=leaving_stated upstream=%s service=%s request=%s",
+                replica.upstream,
+                replica.service,
+                self.request_id.decode("latin-1"),
+            )
+        retry_after = response.header(b"retry-after")
+        if response.status != HTTPStatus.SERVICE_UNAVAILABLE or retry_after is None:
+            return
+        pause_ms = parse_pause_ms(retry_after)
+        if pause_ms is not None:
+            replica.record_pause(now_ms=now_ms, pause_ms=pause_ms)
+            logger.info(
+                "event=pause_stated upstream=%s service=%s request=%s pause_ms=%.0f",
+                replica.upstream,
+                replica.service,
+                self.request_id.decode("latin-1"),
+                pause_ms,
+            )
+
     def _record_limit(self, response: UpstreamResponse) -> None:
         """Record the limit that an answer states; an answer without one ends it.
 
@@ -228,10 +268,7 @@
         """
         header_names = self._directory.header_names
         value = response.header(header_names.limit)
-        if value is None and (
-            response.status == HTTPStatus.MISDIRECTED_REQUEST
-            or response.header(header_names.not_run) is not None
-        ):
+        if value is None and response.header(header_names.not_run) is not None:
             return
         limit_per_s = parse_limit(value) if value is not None else None
         if self._directory.record_limit(self.replica, limit_per_s):
--- a/packages/cuminbendd/src/cuminbendd/entry/_header_names.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_header_names.py
@@ -23,6 +23,7 @@
             commas.
         limit: Requests a second that an upstream in need takes from all instances
             together, a decimal number; absent if it states no limit.
+        leaving: Present on the answers of an upstream that is about to end.
         part_stamps: Signatures of the parts of a merged answer, separated by commas.
         missing_parts: Number of shards without a part in a merged answer; absent if
             there is none.
@@ -35,13 +36,14 @@
     not_run: bytes = b"x-not-run"
     load: bytes = b"x-load"
     limit: bytes = b"x-limit"
+    leaving: bytes = b"x-leaving"
     part_stamps: bytes = b"x-part-stamps"
     missing_parts: bytes = b"x-missing-parts"
 
     @property
     def statements(self) -> tuple[bytes, ...]:
         """Headers in which an upstream describes itself; callers do not get them."""
-        return (self.load, self.limit)
+        return (self.load, self.limit, self.leaving)
 
     @property
     def response_header_names(self) -> ResponseHeaderNames:
--- a/packages/cuminbendd/src/cuminbendd/entry/_statements.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_statements.py
@@ -1,4 +1,4 @@
-"""Limits that upstreams state: what this instance has heard, and its shares."""
+"""What upstreams state of themselves, shared with the other instances."""
 
 import logging
 from collections.abc import Collection, Iterable
@@ -59,6 +59,13 @@
                 self._unconfirmed[replica.upstream] = statement
         return True
 
+    def record_leaving(self, replica: Replica, *, now_ms: float) -> bool:
+        """Record that an upstream says that it leaves; return whether that is new."""
+        if not replica.record_leaving(now_ms=now_ms):
+            return False
+        self._unconfirmed[replica.upstream] = _statement_of(replica)
+        return True
+
     def merge(
         self,
         statements: Iterable[UpstreamStatement],
@@ -87,6 +94,12 @@
                 and replica.incarnation_ms == statement.incarnation_ms
             ):
                 self._apply(replica, statement.limit_per_s, now_ms)
+                if statement.is_leaving and replica.record_leaving(now_ms=now_ms):
+                    logger.info(
+                        "event=leaving_learned upstream=%s service=%s",
+                        replica.upstream,
+                        replica.service,
+                    )
         if is_full:
             for upstream, replica in self._limited.items():
                 if upstream not in self._passed_on:
@@ -153,4 +166,5 @@
         upstream=replica.upstream,
         incarnation_ms=replica.incarnation_ms,
         limit_per_s=share.limit_per_s if share else None,
+        is_leaving=replica.leaving_since_ms is not None,
     )
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -299,7 +299,7 @@
         )
         self._remove_upstream(replica.upstream, cause="misdirected")
 
-    # Limits that upstreams state
+    # What upstreams state of themselves
 
     def record_limit(self, replica: Replica, limit_per_s: float | None) -> bool:
         """Record the limit that an answer states; return whether it is a new one.
@@ -315,10 +315,20 @@
             replica, limit_per_s, now_ms=self.clock.monotonic_ms()
         )
 
+    def record_leaving(self, replica: Replica) -> bool:
+        """Record that an answer says that the upstream leaves.
+
+        Returns:
+            Whether it is new.
+        """
+        return self._statements.record_leaving(
+            replica, now_ms=self.clock.monotonic_ms()
+        )
+
     def merge_statements(
         self, statements: Iterable[UpstreamStatement], *, is_full: bool
     ) -> None:
-        """Apply limits that upstreams stated to other instances."""
+        """Apply what upstreams stated to other instances."""
         self._statements.merge(
             statements,
             {upstream: pool.replica for upstream, pool in self._pools.items()},
@@ -327,7 +337,7 @@
         )
 
     def report_statements(self) -> tuple[UpstreamStatement, ...]:
-        """Return the stated limits that the control group has yet to pass on."""
+        """Return the statements that the control group has yet to pass on."""
         return self._statements.report()
 
     # Limits
--- a/packages/cuminbendd/src/cuminbendd/feed/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/_server.py
@@ -76,20 +76,20 @@
 
     @property
     def statements_revision(self) -> int:
-        """Revision of the stated limits; it grows with each change."""
+        """Revision of the statements; it grows with each change."""
 
     def statements_since(
         self, revision: int, *, only_held_here: bool
     ) -> tuple[UpstreamStatement, ...]:
-        """Return the stated limits that changed after a revision.
+        """Return the statements that changed after a revision.
 
         Args:
             revision: Revision up to which the changes are left out.
-            only_held_here: Leave out limits that another control instance passed on.
+            only_held_here: Leave out those that another control instance passed on.
         """
 
     def take_statements(self, statements: tuple[UpstreamStatement, ...]) -> None:
-        """Record limits that upstreams stated to an entry instance."""
+        """Record what upstreams stated to an entry instance."""
 
     def entries(self, *, only_held_here: bool) -> tuple[EntryInfo, ...]:
         """Return the entry instances in the directory.
--- a/packages/cuminbendd/src/cuminbendd/feed/tests/_fakes.py
+++ b/packages/cuminbendd/src/cuminbendd/feed/tests/_fakes.py
@@ -52,7 +52,7 @@
         return ()
 
     def statements_since(self, revision, *, only_held_here):
-        """Return no stated limits."""
+        """Return no statements."""
         return ()
 
     def entries(self, *, only_held_here):
