--- a/packages/cuminbend/src/cuminbend/crashes/_suspects.py
+++ b/packages/cuminbend/src/cuminbend/crashes/_suspects.py
@@ -16,6 +16,9 @@
 # A report holds at most this many crashes and answers; the rest is in the next one.
 _MAX_REPORTED = 64
 _MAX_UNCONFIRMED = 256
+# An answer is reported this often at most. The group confirms it only if it has
+# recorded a crash of the request, which is not certain.
+_MAX_ANSWER_REPORTS = 10
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,7 +70,10 @@
         self._clock = clock
         self._table = CrashTable()
         self._unconfirmed: OrderedDict[tuple[str, str, int], Crash] = OrderedDict()
-        self._answered: OrderedDict[AnsweredRequest, None] = OrderedDict()
+        # Number of reports so far, by answer.
+        self._answered: OrderedDict[AnsweredRequest, int] = OrderedDict()
+        # Fingerprints of which the group may have recorded a crash.
+        self._shared: set[str] = set()
         self._quarantine_starts_ms: dict[str, tuple[int, float]] = {}
 
     # Observations of this instance
@@ -96,9 +102,11 @@
         self._quarantine_starts_ms.pop(fingerprint, None)
         for crash in history.crashes:
             self._unconfirmed[(fingerprint, *crash.process)] = crash
-        self._answered[AnsweredRequest(fingerprint=fingerprint, service=service)] = None
-        if len(self._answered) > _MAX_UNCONFIRMED:
-            self._answered.popitem(last=False)
+        if fingerprint in self._shared:
+            answer = AnsweredRequest(fingerprint=fingerprint, service=service)
+            self._answered[answer] = 0
+            if len(self._answered) > _MAX_UNCONFIRMED:
+                self._answered.popitem(last=False)
 
     def report(self) -> CrashReport:
         """Return what the control group has yet to record.
@@ -111,10 +119,14 @@
             for crash in self._unconfirmed.values()
             if self._table.history(crash.fingerprint).verdict is not Verdict.CLEAR
         ]
-        return CrashReport(
-            crashes=tuple(crashes[:_MAX_REPORTED]),
-            answered=tuple(self._answered)[:_MAX_REPORTED],
-        )
+        del crashes[_MAX_REPORTED:]
+        self._shared.update(crash.fingerprint for crash in crashes)
+        answered = tuple(self._answered)[:_MAX_REPORTED]
+        for answer in answered:
+            self._answered[answer] += 1
+            if self._answered[answer] >= _MAX_ANSWER_REPORTS:
+                del self._answered[answer]
+        return CrashReport(crashes=tuple(crashes), answered=answered)
 
     def _forget_unconfirmed(self, fingerprint: str) -> None:
         for key in [key for key in self._unconfirmed if key[0] == fingerprint]:
@@ -132,9 +144,14 @@
         histories = tuple(histories)
         if is_full:
             self._table.replace_all(())
+            self._shared.clear()
         for history in histories:
             self._table.replace(history)
             self._remove_confirmed(history)
+            if history.crashes:
+                self._shared.add(history.fingerprint)
+            else:
+                self._shared.discard(history.fingerprint)
         for crash in self._unconfirmed.values():
             self._table.record(crash)
         for answer in self._answered:
--- a/packages/cuminbend/src/cuminbend/crashes/tests/test_suspects.py
+++ b/packages/cuminbend/src/cuminbend/crashes/tests/test_suspects.py
@@ -78,6 +78,24 @@
     assert suspects.report().is_empty
 
 
+def test_answer_to_an_unreported_request_is_not_reported() -> None:
+    """Guards against reports of harmless requests that nothing ever confirms."""
+    suspects = new_suspects()
+    for number in range(50):
+        suspects.record_crash(crash(1, is_partial=True, fingerprint=f"f{number}"))
+        suspects.record_answer(f"f{number}", "s")
+    assert suspects.report().is_empty
+
+
+def test_answer_that_is_never_confirmed_is_given_up() -> None:
+    """Guards against a report that is repeated for ever after its crash was lost."""
+    suspects = new_suspects()
+    suspects.record_crash(crash(1))
+    assert suspects.report().crashes
+    suspects.record_answer("f", "s")
+    assert [bool(suspects.report().answered) for _ in range(12)][-1] is False
+
+
 def test_quarantine_allows_one_trial_in_each_period() -> None:
     """Guards against a quarantine without end, and trials that crash many upstreams."""
     clock = SettableClock()
