--- a/packages/cuminbendd/src/cuminbendd/entry/_statements.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_statements.py
@@ -38,10 +38,10 @@
         self._unconfirmed: dict[str, UpstreamStatement] = {}
         self._passed_on: dict[str, UpstreamStatement] = {}
 
-    def record_answer(
+    def record_limit(
         self, replica: Replica, limit_per_s: float | None, *, now_ms: float
     ) -> bool:
-        """Record what an answer of an upstream states.
+        """Record the limit that an answer of an upstream states.
 
         Returns:
             Whether it differs from what was known.
@@ -52,20 +52,24 @@
             return False
         self._apply(replica, limit_per_s, now_ms)
         if _is_reported_change(known_per_s, limit_per_s):
-            statement = _statement_of(replica)
-            if self._passed_on.get(replica.upstream) == statement:
-                self._unconfirmed.pop(replica.upstream, None)
-            else:
-                self._unconfirmed[replica.upstream] = statement
+            self._update_report(replica, now_ms)
         return True
 
     def record_leaving(self, replica: Replica, *, now_ms: float) -> bool:
         """Record that an upstream says that it leaves; return whether that is new."""
         if not replica.record_leaving(now_ms=now_ms):
             return False
-        self._unconfirmed[replica.upstream] = _statement_of(replica)
+        self._update_report(replica, now_ms)
         return True
 
+    def _update_report(self, replica: Replica, now_ms: float) -> None:
+        """Report what is known of an upstream unless the group has passed it on."""
+        statement = _statement_of(replica, now_ms)
+        if self._passed_on.get(replica.upstream) == statement:
+            self._unconfirmed.pop(replica.upstream, None)
+        else:
+            self._unconfirmed[replica.upstream] = statement
+
     def merge(
         self,
         statements: Iterable[UpstreamStatement],
@@ -93,17 +97,24 @@
                 replica is not None
                 and replica.incarnation_ms == statement.incarnation_ms
             ):
-                self._apply(replica, statement.limit_per_s, now_ms)
-                if statement.is_leaving and replica.record_leaving(now_ms=now_ms):
-                    logger.info(
-                        "event=leaving_learned upstream=%s service=%s",
-                        replica.upstream,
-                        replica.service,
-                    )
+                self._merge_statement(statement, replica, now_ms)
         if is_full:
             for upstream, replica in self._limited.items():
                 if upstream not in self._passed_on:
-                    self._unconfirmed[upstream] = _statement_of(replica)
+                    self._update_report(replica, now_ms)
+
+    def _merge_statement(
+        self, statement: UpstreamStatement, replica: Replica, now_ms: float
+    ) -> None:
+        self._apply(replica, statement.limit_per_s, now_ms)
+        if statement.is_leaving and replica.record_leaving(now_ms=now_ms):
+            logger.info(
+                "event=leaving_learned upstream=%s service=%s",
+                replica.upstream,
+                replica.service,
+            )
+        # Only this instance may have heard that the upstream leaves.
+        self._update_report(replica, now_ms)
 
     def report(self) -> tuple[UpstreamStatement, ...]:
         """Return what the control group has yet to pass on."""
@@ -111,6 +122,8 @@
 
     def set_senders(self, instances: Collection[str], *, now_ms: float) -> None:
         """Set the instances that share the limits."""
+        if instances == self._senders:
+            return
         self._senders = instances
         for replica in self._limited.values():
             if replica.limit_share is not None:
@@ -160,11 +173,11 @@
     return abs(limit_per_s - known_per_s) > _MIN_REPORTED_CHANGE * known_per_s
 
 
-def _statement_of(replica: Replica) -> UpstreamStatement:
+def _statement_of(replica: Replica, now_ms: float) -> UpstreamStatement:
     share = replica.limit_share
     return UpstreamStatement(
         upstream=replica.upstream,
         incarnation_ms=replica.incarnation_ms,
         limit_per_s=share.limit_per_s if share else None,
-        is_leaving=replica.leaving_since_ms is not None,
+        is_leaving=replica.is_leaving_at(now_ms),
     )
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -311,7 +311,7 @@
         pool = self._pools.get(replica.upstream)
         if pool is None or pool.replica is not replica:
             return False
-        return self._statements.record_answer(
+        return self._statements.record_limit(
             replica, limit_per_s, now_ms=self.clock.monotonic_ms()
         )
 
