--- a/packages/cuminbend/src/cuminbend/crashes/_suspects.py
+++ b/packages/cuminbend/src/cuminbend/crashes/_suspects.py
@@ -26,11 +26,14 @@
     """Settings of the quarantine.
 
     Attributes:
-        quarantine_ms: Time for which a quarantined request is sent to no upstream. It
-            doubles with each further crash.
+        quarantine_ms: Time for which a quarantined request is sent to no upstream.
+        quarantine_growth: Factor on that time for each further crash. A frequent
+            request that was only there when upstreams ended is back soon, and one that
+            crashes them gets three trials within the first forty minutes.
     """
 
-    quarantine_ms: float = 600_000.0
+    quarantine_ms: float = 30_000.0
+    quarantine_growth: float = 4.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -193,8 +196,10 @@
         if count != known_count:
             start_ms = now_ms
             self._quarantine_starts_ms[fingerprint] = (count, start_ms)
-        doublings = max(0, count - QUARANTINE_CRASHES)
-        duration_ms = self._settings.quarantine_ms * float(2**doublings)
+        further_count = max(0, count - QUARANTINE_CRASHES)
+        duration_ms = self._settings.quarantine_ms * (
+            self._settings.quarantine_growth**further_count
+        )
         return max(0.0, start_ms + duration_ms - now_ms)
 
     def begin_trial(self, fingerprint: str) -> bool:
