--- a/packages/cuminbendctl/src/cuminbendctl/_explain.py
+++ b/packages/cuminbendctl/src/cuminbendctl/_explain.py
@@ -24,6 +24,10 @@
         "log_lines_dropped",
     }
 )
+# What an upstream said or did in one request decides about later ones.
+_UPSTREAM_EVENTS = frozenset(
+    {"leaving_stated", "limit_stated", "pause_stated", "upstream_crashed"}
+)
 _OUTCOME_TEXTS = {
     "answered": "was answered",
     "too_few_upstreams": "was rejected before anything was sent: too few shards had "
@@ -41,6 +45,10 @@
     "rejected_not_run": "was rejected: every upstream that was asked refused it",
     "rejected_deadline": "was rejected at its deadline; nothing had been sent",
     "abandoned_by_caller": "was given up by its caller",
+    "quarantined": "was rejected before anything was sent: equal requests have crashed "
+    "the upstreams that ran them",
+    "stopping": "was rejected before anything was sent: the instance stops and it could "
+    "not have ended before that",
 }
 # Why a shard without a part got no other attempt.
 _NO_ATTEMPT_TEXTS = {
@@ -48,6 +56,7 @@
     "early": "its group had just been accepted",
     "budget": "no retry token was left",
     "upstream": "no upstream took work",
+    "suspect": "it may have crashed upstreams, and no other shard had answered it",
 }
 
 
@@ -82,7 +91,9 @@
             return False
         if not self._start - _CONTEXT_BEFORE <= line.logged_at <= self._end:
             return False
-        if "request" in line.fields or line.instance not in self._instances:
+        if line.instance not in self._instances or line in self.lines:
+            return False
+        if "request" in line.fields and line.event not in _UPSTREAM_EVENTS:
             return False
         if line.event in _INSTANCE_WIDE_EVENTS:
             return True
--- a/packages/cuminbendctl/src/cuminbendctl/tests/test_explain.py
+++ b/packages/cuminbendctl/src/cuminbendctl/tests/test_explain.py
@@ -26,6 +26,10 @@
      "status=200 duration_ms=9.0 coverage=1.000 missing= version=7"),
     ("02.060", "e2", "event=request_ended request=r3 route=b "
      "outcome=rejected_no_upstream status=503 duration_ms=0.1 service=s5 tried="),
+    ("02.070", "e2", "event=limit_stated upstream=u6 service=s6 request=r3 value=2 "
+     "limit_per_s=2.0"),
+    ("02.080", "e2", "event=request_ended request=r4 route=b outcome=quarantined "
+     "status=503 duration_ms=0.1 service=s6 tried="),
 ]  # fmt: skip
 
 
@@ -68,6 +72,7 @@
     [
         ("r2", "was answered (status 200)"),
         ("r3", "was rejected: no upstream of the service takes work (status 503)"),
+        ("r4", "equal requests have crashed the upstreams that ran them (status 503)"),
     ],
 )
 def test_outcome_is_described(logs, capsys, request_id, description):
@@ -76,6 +81,12 @@
     assert description in capsys.readouterr().out.splitlines()[0]
 
 
+def test_statement_that_another_request_learned_is_listed(logs, capsys):
+    """Guards against a refusal whose cause an earlier request has in its lines."""
+    assert run(["explain", "r4", *logs]) == 0
+    assert "limit_stated upstream=u6" in capsys.readouterr().out
+
+
 def test_compressed_logs_and_pipes_are_read(logs, tmp_path, capsys):
     """Guards against logs that have to be unpacked or stored before they are read."""
     assert run(["explain", "r1", *logs]) == 0
