--- a/packages/cuminbendctl/src/cuminbendctl/_explain.py
+++ b/packages/cuminbendctl/src/cuminbendctl/_explain.py
@@ -47,8 +47,8 @@
     "abandoned_by_caller": "was given up by its caller",
     "quarantined": "was rejected before anything was sent: equal requests have crashed "
     "the upstreams that ran them",
-    "stopping": "was rejected before anything was sent: the instance stops and it could "
-    "not have ended before that",
+    "stopping": "was rejected before anything was sent: the instance stops, and it "
+    "could not have ended before that",
 }
 # Why a shard without a part got no other attempt.
 _NO_ATTEMPT_TEXTS = {
