--- a/benchmarks/bench_stated_limits.py
+++ b/benchmarks/bench_stated_limits.py
@@ -166,7 +166,7 @@
 
 
 class TokenLeases(SharingWay):
-    """Each request asks one place for a token, or is routed to the one that has them."""
+    """Each request asks one place for a token, or is routed to that place."""
 
     name = "a token from one place for each request"
 
