--- a/packages/cuminbend/src/cuminbend/crashes/_suspects.py
+++ b/packages/cuminbend/src/cuminbend/crashes/_suspects.py
@@ -29,11 +29,11 @@
         quarantine_ms: Time for which a quarantined request is sent to no upstream.
         quarantine_growth: Factor on that time for each further crash. A frequent
             request that was only there when upstreams ended is back soon, and one that
-            crashes them gets three trials within the first forty minutes.
+            crashes them gets three trials within the first day.
     """
 
     quarantine_ms: float = 30_000.0
-    quarantine_growth: float = 4.0
+    quarantine_growth: float = 16.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
