--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -6,7 +6,12 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from cuminbend.crashes import Verdict, allows_another_attempt, compute_fingerprint
+from cuminbend.crashes import (
+    CrashSuspects,
+    Verdict,
+    allows_another_attempt,
+    compute_fingerprint,
+)
 from cuminbend.forwarding import (
     HedgeDelay,
     RetryBudgets,
@@ -145,18 +150,21 @@
 
     # Requests that crash upstreams
 
+    @property
+    def _suspects(self) -> CrashSuspects:
+        return self.upstreams.crash_watch.suspects
+
     def admit_suspect(self, prepared: "PreparedRequest") -> Verdict:
         """Return how to treat a request that is about to start.
 
         A quarantined request becomes a suspect if it may run as a trial.
         """
-        suspects = self.upstreams.crash_watch.suspects
         fingerprint = prepared.fingerprint
-        verdict = suspects.verdict(fingerprint)
+        verdict = self._suspects.verdict(fingerprint)
         if (
             verdict is Verdict.QUARANTINED
             and self.upstreams.is_designated_for(fingerprint)
-            and suspects.begin_trial(fingerprint)
+            and self._suspects.begin_trial(fingerprint)
         ):
             prepared.is_trial = True
             return Verdict.SUSPECT
@@ -164,24 +172,19 @@
 
     def is_quarantined(self, prepared: "PreparedRequest") -> bool:
         """Return whether a request may be sent to no upstream any more."""
-        suspects = self.upstreams.crash_watch.suspects
-        return (
-            not prepared.is_trial
-            and suspects.verdict(prepared.fingerprint) is Verdict.QUARANTINED
-        )
+        verdict = self._suspects.verdict(prepared.fingerprint)
+        return not prepared.is_trial and verdict is Verdict.QUARANTINED
 
     def quarantine_left_ms(self, prepared: "PreparedRequest") -> float:
         """Return the time until a quarantined request may be tried again."""
-        suspects = self.upstreams.crash_watch.suspects
-        return suspects.quarantine_left_ms(prepared.fingerprint)
+        return self._suspects.quarantine_left_ms(prepared.fingerprint)
 
     def allows_another_attempt(
         self, prepared: "PreparedRequest", *, has_open_attempts: bool
     ) -> bool:
         """Return whether the crashes of a request allow an attempt after the first."""
-        suspects = self.upstreams.crash_watch.suspects
         return allows_another_attempt(
-            suspects.verdict(prepared.fingerprint),
+            self._suspects.verdict(prepared.fingerprint),
             was_answered=prepared.was_answered,
             broken_count=prepared.broken_count,
             has_open_attempts=has_open_attempts,
