--- a/packages/cuminbendd/src/cuminbendd/entry/_crash_watch.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_crash_watch.py
@@ -41,6 +41,10 @@
     ) -> None:
         """Check whether an upstream ended while it may have run a request."""
         request.broken_count += 1
+        if not request.fingerprint:
+            # An instance of an earlier version sent the group; its requests cannot be
+            # told apart.
+            return
         check = asyncio.ensure_future(self._check(request, pool))
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_helpers.py
@@ -10,12 +10,15 @@
 import msgspec
 import pytest
 import uvloop
+from cuminbend.crashes import Verdict
 from cuminbend.forwarding import merge_greatest_records
 
 from cuminbendd.entry import _delegation
 from cuminbendd.entry._delegation import Delegation, Peer
+from cuminbendd.entry._forwarding import PreparedRequest
 from cuminbendd.entry._peers import Accepted, Delegate, Merged
 from cuminbendd.entry.tests._harness import (
+    HEADER_NAMES,
     EntryHarness,
     FakeUpstream,
     SeenRequest,
@@ -146,6 +149,36 @@
     run(test)
 
 
+@pytest.mark.usefixtures("long_accept_timeout")
+def test_crashes_of_groups_without_a_fingerprint_are_not_added_up() -> None:
+    """Guards against a helper that refuses all groups of instances before the upgrade.
+
+    These instances send no fingerprint, so their requests cannot be told apart.
+    """
+
+    async def test() -> None:
+        async with RequesterAndHelper() as pair:
+            entry = pair.helper.entry
+            request = PreparedRequest(
+                head=b"",
+                body=b"",
+                request_id=b"id",
+                fingerprint="",
+                header_names=HEADER_NAMES,
+                deadline_ms=0.0,
+            )
+            for upstream in pair.upstreams[3:]:
+                upstream.stop()
+                pool = entry._upstreams._pools[upstream.name]
+                pool.abort()
+                pool._is_closed = False
+                entry._crash_watch.record_broken_connection(request, pool)
+            await wait_until(lambda: not entry._crash_watch._checks)
+            assert entry._suspects.verdict("") is Verdict.CLEAR
+
+    run(test)
+
+
 @pytest.mark.usefixtures("long_accept_timeout")
 def test_helper_that_leaves_the_directory_finishes_its_groups() -> None:
     """Guards against parts that a planned stop of another instance throws away."""
