Remove silent voters that the control group does not need

Cause: a silent voter was removed only while the number of voters was even. A successor that was admitted within 2.5 s of the end of an earlier voter made the number odd, and from then on neither replaced voter was ever removed. Three of five voters lived, so the loss of one more disk left no majority for good.

Change: the decision no longer depends on the order of silence and admission. A silent voter is removed whenever as many voters are in touch as the group needs for the losses that it has to bear (faultTolerance.machines on the platform, the configured voters on the product's own interface). Otherwise the earlier rule for even numbers stands, so a voter that is only stopped keeps its vote. A group that cannot elect a leader now logs event=no_majority with its voters.

--- a/packages/cuminbend/src/cuminbend/consensus/_election.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_election.py
@@ -26,6 +26,13 @@
     if not transfer:
         core.leader = None
         if not await _collect_votes(core, term=term, pre_vote=True, transfer=False):
+            logger.warning(
+                "event=no_majority instance=%s term=%d voters=%s remedy='start more of "
+                "these voters; without a majority of them nothing is committed'",
+                core.settings.instance,
+                core.storage.term,
+                ",".join(f"{v.instance}/{v.disk_id}" for v in core.storage.voters),
+            )
             return
     async with core.lock:
         if core.storage.term + 1 != term or not core.is_voter:
--- a/packages/cuminbend/src/cuminbend/consensus/_progress.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_progress.py
@@ -93,8 +93,13 @@
         )
         return send_times_ms[majority(len(send_times_ms)) - 1]
 
+    def count_reachable(self, voters: tuple[Voter, ...]) -> int:
+        """Return how many voters answered within the minimum election timeout."""
+        since_ms = (
+            self.core.clock.monotonic_ms() - self.core.settings.election_timeout_min_ms
+        )
+        return sum(self.last_acknowledged_send_ms(voter) > since_ms for voter in voters)
+
     def is_majority_reachable(self, voters: tuple[Voter, ...]) -> bool:
         """Return whether a majority answered within the minimum election timeout."""
-        now_ms = self.core.clock.monotonic_ms()
-        silent_ms = now_ms - self.majority_acknowledged_send_ms(voters)
-        return silent_ms < self.core.settings.election_timeout_min_ms
+        return self.count_reachable(voters) >= majority(len(voters))
--- a/packages/cuminbend/src/cuminbend/consensus/_settings.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_settings.py
@@ -38,7 +38,11 @@
         admission_request_ttl_ms: Time for which a request to become a voter is valid;
             the instance repeats it.
         remove_silent_after_ms: Time without a reply after which a voter may be removed,
-            once a new voter has replaced it; long enough for two elections.
+            although fewer than ``min_live_voters`` are in touch; long enough for two
+            elections.
+        min_live_voters: Number of voters in touch that suffices for the losses that
+            the cluster has to bear, which is one more than twice these losses; silent
+            voters beyond it are removed.
     """
 
     instance: str
@@ -58,3 +62,4 @@
     first_election_timeout_max_ms: float | None = None
     admission_request_ttl_ms: float = 5000
     remove_silent_after_ms: float = 2500
+    min_live_voters: int = 3
--- a/packages/cuminbend/src/cuminbend/consensus/_voter_changes.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_voter_changes.py
@@ -42,16 +42,24 @@
 def _without_unreachable_voter(
     progress: ReplicationProgress, led_since_ms: float
 ) -> tuple[Voter, ...] | None:
-    """Return the voters without a silent one that a new voter has replaced.
+    """Return the voters without a silent one that is not needed.
 
-    A voter that does not answer stays while the number of voters is odd, since it may
-    come back with its disk. Once a new voter has made the number even, the silent
-    voter only raises the size of the majority.
+    A silent voter may come back with its disk, so it stays while the group needs it.
+    It does not in two cases:
+
+    - ``min_live_voters`` others are in touch. Silent voters then only raise the size
+      of the majority. Without this rule, voters that were replaced in quick succession
+      would stay for good, because each new voter makes the number odd again.
+    - The number of voters is even, so the majority is smaller without it. Fewer voters
+      are live than the group should have, so it waits longer for the silent one.
     """
     core, voters = progress.core, progress.core.storage.voters
-    if len(voters) < _MIN_VOTERS_TO_REMOVE or len(voters) % 2:
+    if progress.count_reachable(voters) >= core.settings.min_live_voters:
+        max_silence_ms = core.settings.election_timeout_max_ms
+    elif len(voters) >= _MIN_VOTERS_TO_REMOVE and len(voters) % 2 == 0:
+        max_silence_ms = core.settings.remove_silent_after_ms
+    else:
         return None
-    max_silence_ms = core.settings.remove_silent_after_ms
     now_ms = core.clock.monotonic_ms()
     if now_ms - led_since_ms < max_silence_ms:
         return None
--- a/packages/cuminbend/src/cuminbend/consensus/tests/test_replacement.py
+++ b/packages/cuminbend/src/cuminbend/consensus/tests/test_replacement.py
@@ -88,6 +88,64 @@
     run_cluster_test(test)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_replacements_in_quick_succession_leave_no_lost_voter(seed: int) -> None:
+    """Guards against replaced voters that stay because a successor joined too early.
+
+    Each successor joins before the voter that it replaces has been silent for long
+    enough, so the number of voters is odd whenever a removal is considered. The loss
+    of one disk then left two of five voters and no majority.
+    """
+
+    async def test(cluster: Cluster) -> None:
+        cluster.start()
+        await cluster.commit_commands(2)
+        for old, new in (("a", "d"), ("b", "e")):
+            add_instance(cluster, new)
+            await cluster.wait_for(lambda new=new: new in voters(cluster), 30)
+            cluster.instances[old].kill()
+        await cluster.wait_for(lambda: voters(cluster) == ["c", "d", "e"], 30)
+        await cluster.commit_commands(1)
+        cluster.instances["c"].lose_disk()
+        await cluster.commit_commands(5)
+        cluster.instances["c"].start()
+        await cluster.wait_for(
+            lambda: (
+                (leader := cluster.leader()) is not None
+                and {voter.instance for voter in leader.replica.voters} == {*"cde"}
+                and len(leader.replica.voters) == 3
+                and cluster.instances["c"].replica.is_voter
+            ),
+            30,
+        )
+
+    run_cluster_test(test, seed)
+
+
+def test_two_stopped_voters_of_five_stay() -> None:
+    """Guards against the removal of stopped voters that the cluster still needs.
+
+    With five voters that bear two losses, three live ones would bear only one.
+    """
+
+    async def test(cluster: Cluster) -> None:
+        cluster.start()
+        await cluster.commit_commands(2)
+        for name in "de":
+            add_instance(cluster, name)
+        await cluster.wait_for(lambda: len(voters(cluster)) == 5, 30)
+        stopped = cluster.followers()[:2]
+        for instance in stopped:
+            instance.kill()
+        await anyio.sleep(10)
+        assert len(voters(cluster)) == 5
+        for instance in stopped:
+            instance.start()
+        await cluster.wait_until_converged()
+
+    run_cluster_test(test, min_live_voters=5)
+
+
 def test_removed_voter_rejoins_after_partition() -> None:
     """Guards against a running instance that stays without a vote after a partition.
 
--- a/packages/cuminbendd/src/cuminbendd/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/_instance.py
@@ -75,6 +75,7 @@
                 heartbeat_ms=timing.heartbeat_ms,
                 election_timeout_min_ms=timing.election_timeout_min_ms,
                 election_timeout_max_ms=timing.election_timeout_max_ms,
+                min_live_voters=len(settings.voters),
             ),
             storage=self.storage,
             transport=peers,
--- a/packages/cuminbendd/src/cuminbendd/control/_group.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_group.py
@@ -90,6 +90,7 @@
                 election_timeout_min_ms=_ELECTION_TIMEOUT_MIN_MS,
                 election_timeout_max_ms=_ELECTION_TIMEOUT_MAX_MS,
                 first_election_timeout_max_ms=_FIRST_ELECTION_TIMEOUT_MAX_MS,
+                min_live_voters=2 * max(settings.max_lost_instances, 1) + 1,
             ),
             storage=LogStorage(disk=self._disk, instance=settings.channel_address),
             transport=self._channel_pool,
--- a/packages/cuminbendd/src/cuminbendd/control/_settings.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_settings.py
@@ -29,6 +29,7 @@
         entry_retention_ms: Time for which entry instances stay in the directory after
             the control instance that they read was lost. Meanwhile they connect to
             another one.
+        max_lost_instances: Number of control instances that may be lost at once.
     """
 
     instance: str
@@ -42,3 +43,4 @@
     max_contact_age_ms: float = 1000.0
     propose_timeout_ms: float = 850.0
     entry_retention_ms: float = 2500.0
+    max_lost_instances: int = 1
