Remove a stopping control instance from the voters before it ends

What was at risk: after a planned replacement (the new machine first, then SIGTERM of the old one) four voters counted until the old one had been silent for 1.2 s or more. The loss of one more disk in that time left two of four voters and no majority for good, although the successor had served for long enough.

Change: an instance that stops as planned tells the leader after the handover, and the leader removes it from the voters if as many others are in touch as the group needs. A restart of one of three instances therefore changes nothing. An instance that starts again asks for admission, which ends its notice.

A machine that is removed without SIGTERM still counts until it has been silent for an election timeout: no majority survives the simultaneous loss of two of four voters.

--- a/packages/cuminbend/src/cuminbend/consensus/_core.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_core.py
@@ -106,6 +106,7 @@
         self.requested_election_term = 0
         self.is_stopping = False
         self._admission_requests: dict[str, float] = {}
+        self._stop_notices: dict[str, float] = {}
         self._waiting_proposals: dict[int, tuple[int, Proposal]] = {}
         self._change_event = anyio.Event()
 
@@ -197,15 +198,25 @@
     def record_admission_request(self, instance: str) -> None:
         """Record that an instance asks to become a voter."""
         self._admission_requests[instance] = self.clock.monotonic_ms()
+        self._stop_notices.pop(instance, None)
 
     def instances_requesting_admission(self) -> list[str]:
         """Return the instances with a valid request to become a voter."""
+        return self._instances_since_ttl(self._admission_requests)
+
+    def record_stop_notice(self, instance: str) -> None:
+        """Record that an instance is about to stop and does without its vote."""
+        self._stop_notices[instance] = self.clock.monotonic_ms()
+        self._admission_requests.pop(instance, None)
+        self.notify()
+
+    def stopping_instances(self) -> list[str]:
+        """Return the instances with a valid stop notice."""
+        return self._instances_since_ttl(self._stop_notices)
+
+    def _instances_since_ttl(self, times_ms: dict[str, float]) -> list[str]:
         since_ms = self.clock.monotonic_ms() - self.settings.admission_request_ttl_ms
-        return [
-            name
-            for name, at_ms in self._admission_requests.items()
-            if at_ms >= since_ms
-        ]
+        return [name for name, at_ms in times_ms.items() if at_ms >= since_ms]
 
     @property
     def has_had_leader_contact(self) -> bool:
--- a/packages/cuminbend/src/cuminbend/consensus/_replica.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_replica.py
@@ -172,6 +172,29 @@
         """
         self._core.record_admission_request(instance)
 
+    async def remove_stopping_voter(self, instance: str, *, timeout_ms: float) -> bool:
+        """Remove an instance that is about to stop, if enough voters are in touch.
+
+        It becomes a voter again by a request for admission.
+
+        Args:
+            instance: The instance, which is not this one.
+            timeout_ms: Longest time to wait for the removal.
+
+        Returns:
+            Whether the removal is committed.
+        """
+        core, storage = self._core, self._storage
+        core.record_stop_notice(instance)
+
+        def is_removed() -> bool:
+            return storage.voters_index <= core.commit_index and all(
+                voter.instance != instance for voter in storage.voters
+            )
+
+        await core.wait_until(is_removed, timeout_ms)
+        return is_removed()
+
     def is_current(self, *, max_contact_age_ms: float) -> bool:
         """Return whether this replica has applied what the cluster has committed.
 
--- a/packages/cuminbend/src/cuminbend/consensus/_settings.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_settings.py
@@ -36,7 +36,7 @@
             vote at once, so set it only where leases do not depend on restarted voters
             refusing to vote.
         admission_request_ttl_ms: Time for which a request to become a voter is valid;
-            the instance repeats it.
+            the instance repeats it. A stop notice is valid for the same time.
         remove_silent_after_ms: Time without a reply after which a voter may be removed,
             although fewer than ``min_live_voters`` are in touch; long enough for two
             elections.
--- a/packages/cuminbend/src/cuminbend/consensus/_voter_changes.py
+++ b/packages/cuminbend/src/cuminbend/consensus/_voter_changes.py
@@ -18,6 +18,7 @@
     """
     return (
         _without_superseded_disk(progress)
+        or _without_stopping_voter(progress)
         or _without_unreachable_voter(progress, led_since_ms)
         or _with_caught_up_learner(progress)
     )
@@ -39,6 +40,23 @@
     return None
 
 
+def _without_stopping_voter(progress: ReplicationProgress) -> tuple[Voter, ...] | None:
+    """Return the voters without one that is about to stop and is not needed.
+
+    While a voter that has stopped is not yet removed, the loss of one more could leave
+    no majority, although a successor has joined before.
+    """
+    core, voters = progress.core, progress.core.storage.voters
+    stopping = core.stopping_instances()
+    for voter in voters:
+        if voter.instance not in stopping or voter == core.own_voter:
+            continue
+        remaining = tuple(other for other in voters if other != voter)
+        if progress.count_reachable(remaining) >= core.settings.min_live_voters:
+            return remaining
+    return None
+
+
 def _without_unreachable_voter(
     progress: ReplicationProgress, led_since_ms: float
 ) -> tuple[Voter, ...] | None:
@@ -83,6 +101,8 @@
         learner = Voter(peer.instance, peer.disk_id)
         if not peer.disk_id or learner in voters:
             continue
+        if peer.instance in progress.core.stopping_instances():
+            continue
         if peer.match_index < progress.core.commit_index:
             continue
         extended = tuple(sorted((*voters, learner)))
--- a/packages/cuminbend/src/cuminbend/consensus/tests/test_replacement.py
+++ b/packages/cuminbend/src/cuminbend/consensus/tests/test_replacement.py
@@ -22,6 +22,16 @@
     return instance
 
 
+async def stop_as_planned(cluster: Cluster, name: str) -> None:
+    """Stop an instance: it hands over, gives up its vote and ends."""
+    instance = cluster.instances[name]
+    await instance.replica.prepare_for_stop(timeout_ms=2000)
+    leader = cluster.leader()
+    if leader not in (None, instance):
+        await leader.replica.remove_stopping_voter(name, timeout_ms=500)
+    instance.kill()
+
+
 def voters(cluster: Cluster) -> list[str]:
     """Return the names of the leader's voters, empty without a leader."""
     leader = cluster.leader()
@@ -122,6 +132,44 @@
     run_cluster_test(test, seed)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_planned_replacement_bears_a_loss_at_once(seed: int) -> None:
+    """Guards against a stopped voter that counts until its silence is noticed.
+
+    Its successor has joined, so the loss of another disk right after the stop is one
+    that three instances bear. It left two of four voters and no majority.
+    """
+
+    async def test(cluster: Cluster) -> None:
+        cluster.start()
+        await cluster.commit_commands(2)
+        add_instance(cluster, "d")
+        await cluster.wait_for(lambda: "d" in voters(cluster), 30)
+        stopped = cluster.rng.choice(sorted("abc"))
+        await stop_as_planned(cluster, stopped)
+        lost = cluster.rng.choice(sorted({*"abcd"} - {stopped}))
+        cluster.instances[lost].lose_disk()
+        await cluster.commit_commands(5)
+
+    run_cluster_test(test, seed)
+
+
+def test_planned_stop_keeps_a_vote_that_is_needed() -> None:
+    """Guards against two voters of three at each restart of an instance."""
+
+    async def test(cluster: Cluster) -> None:
+        cluster.start()
+        await cluster.commit_commands(2)
+        follower = cluster.followers()[0]
+        await stop_as_planned(cluster, follower.name)
+        await anyio.sleep(5)
+        assert voters(cluster) == ["a", "b", "c"]
+        follower.start()
+        await cluster.wait_until_converged()
+
+    run_cluster_test(test)
+
+
 def test_two_stopped_voters_of_five_stay() -> None:
     """Guards against the removal of stopped voters that the cluster still needs.
 
--- a/packages/cuminbend/src/cuminbend/consensus/tests/test_replacement_sequences.py
+++ b/packages/cuminbend/src/cuminbend/consensus/tests/test_replacement_sequences.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cuminbend.consensus.tests._fakes import Cluster, run_cluster_test
-from cuminbend.consensus.tests.test_replacement import add_instance
+from cuminbend.consensus.tests.test_replacement import add_instance, stop_as_planned
 
 SEEDS = int(os.environ.get("CUMINBEND_CONSENSUS_SEEDS", "6"))
 STEPS = 8
@@ -32,6 +32,16 @@
     return cluster.rng.sample(live, count)
 
 
+async def replace_as_planned(cluster: Cluster, losses: int) -> None:
+    """Replace some voters: the new ones first, then the old ones stop one by one."""
+    names = choose(cluster, losses)
+    for name in names:
+        add_instance(cluster, f"{name}n")
+    await anyio.sleep(CATCH_UP_S)
+    for name in names:
+        await stop_as_planned(cluster, name)
+
+
 async def replace(cluster: Cluster, losses: int) -> None:
     """Replace some voters: the new ones first, then the old ones end for good.
 
@@ -109,7 +119,14 @@
         await cluster.wait_for(lambda: has_only_live_voters(cluster), 30)
         for _ in range(STEPS):
             step = cluster.rng.choice(
-                (replace, replace, replace_lost, restart, restart_all, transfer)
+                (
+                    replace_as_planned,
+                    replace,
+                    replace_lost,
+                    restart,
+                    restart_all,
+                    transfer,
+                )
             )
             await step(cluster, cluster.rng.randint(1, tolerance))
             # No step waits for the removal of voters, only for the recovery.
--- a/packages/cuminbendd/src/cuminbendd/control/_group.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_group.py
@@ -27,6 +27,8 @@
     ProposeRequest,
     ReadReply,
     ReadRequest,
+    StopNotice,
+    StopNoticeReply,
 )
 from cuminbendd.control._settings import ControlSettings
 from cuminbendd.feed import ControlInfo
@@ -46,6 +48,9 @@
 _POLL_INTERVAL_S = 0.02
 # Long enough for two transfers of the leadership and an election.
 _HAND_OVER_TIMEOUT_MS = 1500.0
+# Long enough for the commit of one entry, after which the process ends in any case.
+_REMOVAL_TIMEOUT_MS = 500.0
+_STOP_NOTICE_TIMEOUT_MS = 700.0
 _RETRY_AFTER_MS = 200
 
 
@@ -77,6 +82,8 @@
         self._state = state
         self._own_info = own_info
         self._channel_pool = ChannelPool(CONTROL_CODEC)
+        self._min_live_voters = 2 * max(settings.max_lost_instances, 1) + 1
+        self._is_stopping = False
         self.replica = self._new_replica()
 
     def _new_replica(self) -> Replica:
@@ -90,7 +97,7 @@
                 election_timeout_min_ms=_ELECTION_TIMEOUT_MIN_MS,
                 election_timeout_max_ms=_ELECTION_TIMEOUT_MAX_MS,
                 first_election_timeout_max_ms=_FIRST_ELECTION_TIMEOUT_MAX_MS,
-                min_live_voters=2 * max(settings.max_lost_instances, 1) + 1,
+                min_live_voters=self._min_live_voters,
             ),
             storage=LogStorage(disk=self._disk, instance=settings.channel_address),
             transport=self._channel_pool,
@@ -144,6 +151,8 @@
     @property
     def needs_admission(self) -> bool:
         """Whether this instance is no voter or has lost contact with the group."""
+        if self._is_stopping:
+            return False
         replica = self.replica
         max_contact_age_ms = self._settings.max_contact_age_ms
         return not (
@@ -274,8 +283,39 @@
             ) from (error)
 
     async def hand_over_leadership(self) -> None:
-        """Hand the leadership over to another voter before this instance stops."""
+        """Hand the leadership over before a stop, and give up a vote not needed."""
+        self._is_stopping = True
         await self.replica.prepare_for_stop(timeout_ms=_HAND_OVER_TIMEOUT_MS)
+        await self._give_up_vote()
+
+    async def _give_up_vote(self) -> None:
+        """Ask the leader to remove this instance from the voters.
+
+        The vote is kept if the group needs it, as at a restart of one of three
+        instances.
+        """
+        leader = self.replica.leader
+        if leader in (None, self._own_info.address):
+            return
+        if len(self.replica.voters) <= self._min_live_voters:
+            return
+        notice = StopNotice(address=self._own_info.address)
+        try:
+            reply = await self._channel_pool.call(
+                leader, notice, _STOP_NOTICE_TIMEOUT_MS
+            )
+        except CuminbendError as error:
+            logger.info("event=stop_notice_failed leader=%s error='%s'", leader, error)
+            return
+        is_removed = isinstance(reply, StopNoticeReply) and reply.is_removed
+        logger.info("event=vote_given_up leader=%s removed=%s", leader, is_removed)
+
+    async def handle_stop_notice(self, notice: StopNotice) -> StopNoticeReply:
+        """Remove a control instance that is about to stop from the voters."""
+        is_removed = await self.replica.remove_stopping_voter(
+            notice.address, timeout_ms=_REMOVAL_TIMEOUT_MS
+        )
+        return StopNoticeReply(is_removed=is_removed)
 
     def close(self) -> None:
         """Close the connections to other control instances."""
--- a/packages/cuminbendd/src/cuminbendd/control/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_instance.py
@@ -33,6 +33,7 @@
     LeaveRequest,
     ProposeRequest,
     ReadRequest,
+    StopNotice,
 )
 from cuminbendd.control._settings import ControlSettings
 from cuminbendd.control._upstream_reports import UpstreamReports
@@ -450,6 +451,8 @@
             self._known_instances.add_control(request.control)
             await self._group.handle_admit_request(request)
             return AdmitReply(controls=self._known_instances.live_controls())
+        if isinstance(request, StopNotice):
+            return await self._group.handle_stop_notice(request)
         if isinstance(request, LeaveRequest):
             return self.upstream_reports.record_peer_leave(request)
         return await self._group.replica.handle(request)
--- a/packages/cuminbendd/src/cuminbendd/control/_messages.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_messages.py
@@ -52,6 +52,20 @@
     controls: tuple[ControlInfo, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopNotice:
+    """Tells the leader that a control instance is about to stop for good or a while."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopNoticeReply:
+    """Reports whether the instance is no voter any more."""
+
+    is_removed: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaveRequest:
     """Tells another control instance that an upstream leaves or has left.
@@ -91,5 +105,7 @@
         ProposeRequest,
         ReadReply,
         ReadRequest,
+        StopNotice,
+        StopNoticeReply,
     )
 )
