Commit an evacuation order only while its caller waits

Cause: an order was proposed as soon as it was read, through the leader that the process remembered, whatever the age of the order. Orders carried nothing by which the log could recognise an outdated copy.

Change: an order gets its number from a leader that a majority confirms after the order was read. It is dropped if the caller has closed its connection by then, and the log ignores it if another order for the data centre took the number. This also covers a copy that waits in a queue, is delivered twice or is proposed again after an election.

--- a/packages/cuminbend/src/cuminbend/exceptions.py
+++ b/packages/cuminbend/src/cuminbend/exceptions.py
@@ -159,6 +159,10 @@
     """No upstream or instance can serve the request at the moment."""
 
 
+class AbandonedError(CuminbendError):
+    """The caller no longer waits for the answer, so the call has had no effect."""
+
+
 class OverloadedError(RequestFailedError):
     """A queue or budget is full, or the deadline can no longer be met."""
 
--- a/packages/cuminbend/src/cuminbend/newest/__init__.py
+++ b/packages/cuminbend/src/cuminbend/newest/__init__.py
@@ -1,6 +1,8 @@
 """Replicated state that keeps the configuration with the highest version."""
 
 from cuminbend.newest._state import (
+    RESULT_DONE,
+    RESULT_OUTDATED,
     Command,
     HighestVersionState,
     RecordCrashes,
@@ -12,6 +14,8 @@
 )
 
 __all__ = [
+    "RESULT_DONE",
+    "RESULT_OUTDATED",
     "Command",
     "HighestVersionState",
     "RecordCrashes",
--- a/packages/cuminbend/src/cuminbend/newest/_state.py
+++ b/packages/cuminbend/src/cuminbend/newest/_state.py
@@ -5,6 +5,10 @@
 this until the file is acknowledged. A version that is not higher than the stored one is
 acknowledged and changes nothing, so sending a file again is always safe and an accepted
 version never reverts.
+
+Evacuations carry no version of the operator's. Each carries the number that the control
+instance expects it to get, so that a copy that a frozen instance or a slow connection
+held back cannot act after a later one.
 """
 
 import json
@@ -33,6 +37,10 @@
 _KIND_CRASHES = 4
 _SNAPSHOT_HEADER_LENGTH = struct.Struct("<I")
 
+# Results of :meth:`HighestVersionState.apply`.
+RESULT_DONE = b"done"
+RESULT_OUTDATED = b"outdated"
+
 
 @dataclass(frozen=True, slots=True)
 class SetConfiguration:
@@ -48,10 +56,16 @@
 
 @dataclass(frozen=True, slots=True)
 class SetEvacuated:
-    """Command to take a data centre out of service, or back into service."""
+    """Command to take a data centre out of service, or back into service.
+
+    Attributes:
+        number: Position among the commands for this data centre, from 1. The command
+            has no effect if another one took its position; 0 takes the next one.
+    """
 
     data_centre: str
     evacuated: bool
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +96,7 @@
         body = json.dumps(asdict(command.report)).encode()
         return _ENTRY_HEADER.pack(_KIND_CRASHES, 0) + body
     kind = _KIND_EVACUATION_ON if command.evacuated else _KIND_EVACUATION_OFF
-    return _ENTRY_HEADER.pack(kind, 0) + command.data_centre.encode()
+    return _ENTRY_HEADER.pack(kind, command.number) + command.data_centre.encode()
 
 
 def decode_command(data: bytes) -> Command:
@@ -98,7 +112,7 @@
     if kind == _KIND_CONFIGURATION:
         return SetConfiguration(version, body)
     if kind in (_KIND_EVACUATION_ON, _KIND_EVACUATION_OFF):
-        return SetEvacuated(body.decode(), kind == _KIND_EVACUATION_ON)
+        return SetEvacuated(body.decode(), kind == _KIND_EVACUATION_ON, version)
     if kind == _KIND_CRASHES:
         return RecordCrashes(_decode_report(body))
     raise CorruptDataError(
@@ -127,6 +141,8 @@
     Attributes:
         stored_configuration: The configuration with the highest version.
         evacuated: Names of the data centres that are out of service.
+        evacuation_numbers: Number of the last evacuation or withdrawal that took
+            effect, by data centre.
         crash_table: Requests that crashed upstreams.
         change_count: Number of changes so far, by which readers detect a change.
         on_change: Called after each change. It must not raise.
@@ -135,6 +151,7 @@
     def __init__(self) -> None:
         self.stored_configuration = StoredConfiguration()
         self.evacuated: frozenset[str] = frozenset()
+        self.evacuation_numbers: dict[str, int] = {}
         self.crash_table = CrashTable()
         self.change_count = 0
         self.on_change: Callable[[], None] | None = None
@@ -145,31 +162,40 @@
         An entry that cannot be decoded is logged and changes nothing.
 
         Returns:
-            The version in force after the entry, in decimal.
+            ``RESULT_OUTDATED`` if another command took the position of this one, else
+            ``RESULT_DONE``.
         """
         try:
-            self._execute(decode_command(data))
+            is_outdated = self._execute(decode_command(data))
         except CorruptDataError as error:
             logger.error("event=entry_skipped error='%s'", error)
-        return str(self.stored_configuration.version).encode()
+            return RESULT_DONE
+        return RESULT_OUTDATED if is_outdated else RESULT_DONE
 
     @singledispatchmethod
-    def _execute(self, command: Any) -> None:
+    def _execute(self, command: Any) -> bool:
+        """Execute a command and return whether it was outdated, without effect."""
         raise TypeError(
             f"no handler for command type {type(command).__name__}; register one with "
             "_execute"
         )
 
     @_execute.register
-    def _(self, command: SetConfiguration) -> None:
+    def _(self, command: SetConfiguration) -> bool:
         if command.version > self.stored_configuration.version:
             self.stored_configuration = StoredConfiguration(
                 command.version, command.content
             )
             self._notify_change()
+        # An older version is acknowledged like one that is stored.
+        return False
 
     @_execute.register
-    def _(self, command: SetEvacuated) -> None:
+    def _(self, command: SetEvacuated) -> bool:
+        next_number = self.evacuation_numbers.get(command.data_centre, 0) + 1
+        if command.number not in (0, next_number):
+            return True
+        self.evacuation_numbers[command.data_centre] = next_number
         affected = {command.data_centre}
         previously_evacuated = self.evacuated
         self.evacuated = (
@@ -179,9 +205,10 @@
         )
         if self.evacuated != previously_evacuated:
             self._notify_change()
+        return False
 
     @_execute.register
-    def _(self, command: RecordCrashes) -> None:
+    def _(self, command: RecordCrashes) -> bool:
         previous_revision = self.crash_table.revision
         for crash in command.report.crashes:
             self.crash_table.record(crash)
@@ -189,6 +216,7 @@
             self.crash_table.record_answer(answered.fingerprint, answered.service)
         if self.crash_table.revision != previous_revision:
             self._notify_change()
+        return False
 
     def _notify_change(self) -> None:
         self.change_count += 1
@@ -201,6 +229,7 @@
             {
                 "version": self.stored_configuration.version,
                 "evacuated": sorted(self.evacuated),
+                "evacuation_numbers": self.evacuation_numbers,
                 "crashes": [
                     asdict(crash)
                     for history in self.crash_table.histories()
@@ -229,6 +258,7 @@
             header["version"], data[body_start:]
         )
         self.evacuated = frozenset(header["evacuated"])
+        self.evacuation_numbers = header.get("evacuation_numbers", {})
         self.crash_table.replace_all(_decode_histories(header.get("crashes", [])))
         self._notify_change()
 
--- a/packages/cuminbend/src/cuminbend/newest/tests/test_highest_version_state.py
+++ b/packages/cuminbend/src/cuminbend/newest/tests/test_highest_version_state.py
@@ -5,6 +5,8 @@
 from cuminbend.crashes import AnsweredRequest, Crash, CrashReport, Verdict
 from cuminbend.exceptions import CorruptDataError
 from cuminbend.newest import (
+    RESULT_DONE,
+    RESULT_OUTDATED,
     Command,
     HighestVersionState,
     RecordCrashes,
@@ -52,6 +54,35 @@
     assert state.evacuated == frozenset()
 
 
+def test_delayed_withdrawal_does_not_undo_a_later_evacuation() -> None:
+    """Guards against an order that takes effect a second time, after a later one.
+
+    Two instances propose the same withdrawal, and the second copy is committed after
+    the data centre was evacuated again.
+    """
+    state = state_after(SetEvacuated("a", True, 1), SetEvacuated("a", False, 2))
+    later = encode_command(SetEvacuated("a", True, 3))
+    delayed = encode_command(SetEvacuated("a", False, 2))
+    assert state.apply("command", later, 0.0) == RESULT_DONE
+    assert state.apply("command", delayed, 0.0) == RESULT_OUTDATED
+    assert state.evacuated == {"a"}
+    restored = HighestVersionState()
+    restored.restore(state.snapshot())
+    assert restored.apply("command", delayed, 0.0) == RESULT_OUTDATED
+
+
+def test_evacuations_of_an_earlier_release_take_effect() -> None:
+    """Guards against a log of an earlier release that is read as another state.
+
+    Its entries carry no numbers.
+    """
+    state = state_after(
+        SetEvacuated("a", True), SetEvacuated("a", False), SetEvacuated("a", True)
+    )
+    assert state.evacuated == {"a"}
+    assert state.evacuation_numbers == {"a": 3}
+
+
 def test_snapshot_restores_everything() -> None:
     """Guards against state that is lost when the log is compacted."""
     state = state_after(SetConfiguration(7, b"\x00binary\xff"), SetEvacuated("b", True))
--- a/packages/cuminbendd/src/cuminbendd/control/_group.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_group.py
@@ -3,17 +3,22 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from cuminbend.consensus import LogStorage, Replica, ReplicaSettings
 from cuminbend.exceptions import (
+    AbandonedError,
     CorruptDataError,
     CuminbendError,
     UnavailableError,
 )
 from cuminbend.newest import (
+    RESULT_OUTDATED,
     Command,
     HighestVersionState,
     SetConfiguration,
+    SetEvacuated,
     encode_command,
 )
 from cuminbend.ports import Clock, Disk
@@ -54,6 +59,19 @@
 _RETRY_AFTER_MS = 200
 
 
+@dataclass(frozen=True, slots=True)
+class ConfirmedRead:
+    """What a leader held at a time when a majority confirmed it.
+
+    Attributes:
+        version: Version of the configuration in force.
+        evacuation_numbers: Number of the latest order by data centre.
+    """
+
+    version: int
+    evacuation_numbers: dict[str, int]
+
+
 class ControlGroup:
     """Commits commands and reads the newest configuration through the group's leader.
 
@@ -194,29 +212,72 @@
             # This version or a higher one is committed already, so the command has
             # no effect and can be acknowledged.
             return
+        await self._propose(command)
+
+    async def order_evacuation(
+        self,
+        data_centre: str,
+        is_evacuated: bool,
+        *,
+        is_abandoned: Callable[[], bool],
+    ) -> None:
+        """Take a data centre out of service or back, if the caller still waits.
+
+        An operator sends an order again to another instance if it gets no answer. This
+        instance may have been frozen or cut off meanwhile, and a later order may be in
+        force. So the order gets its number from a leader that is confirmed after the
+        order was read, and is committed only if its caller still waits then and no
+        other order for the data centre came between.
+
+        Args:
+            data_centre: Name of the data centre.
+            is_evacuated: Whether it is taken out of service.
+            is_abandoned: Returns whether the caller has closed its connection.
+
+        Raises:
+            AbandonedError: If the caller no longer waits; nothing is committed then.
+            UnavailableError: If it is not known whether the order is in force.
+        """
+        is_in_force = False
+        while not is_in_force:
+            reply = await self._read_at_leader()
+            if is_abandoned():
+                raise AbandonedError(
+                    "the caller closed its connection before the order was committed"
+                )
+            number = reply.evacuation_numbers.get(data_centre, 0) + 1
+            is_in_force = await self._propose(
+                SetEvacuated(data_centre, is_evacuated, number)
+            )
+
+    async def _propose(self, command: Command) -> bool:
+        """Commit a command and return whether it took effect.
+
+        Raises:
+            UnavailableError: If it is not known whether the command is committed.
+        """
         request = ProposeRequest(command=encode_command(command))
-        leader = self.replica.leader
-        if leader is None:
-            raise _unavailable_error("the control group has no leader")
+        leader = self._known_leader()
         timeout_ms = self._settings.propose_timeout_ms
+        reply: object
         if leader == self._own_info.address:
-            is_committed = (await self.handle_propose_request(request)).is_committed
+            reply = await self.handle_propose_request(request)
         else:
             reply = await self._call_leader(leader, request, timeout_ms)
-            is_committed = isinstance(reply, ProposeReply) and reply.is_committed
-        if not is_committed:
+        if not isinstance(reply, ProposeReply) or not reply.is_committed:
             raise _unavailable_error("the control group did not commit in time")
+        return not reply.is_outdated
 
     async def handle_propose_request(self, request: ProposeRequest) -> ProposeReply:
         """Commit a command that another control instance sent to this leader."""
         try:
-            await self.replica.propose(
+            result = await self.replica.propose(
                 request.command, self._settings.propose_timeout_ms
             )
         except CuminbendError as error:
             logger.warning("event=proposal_failed error='%s'", error)
             return ProposeReply(is_committed=False)
-        return ProposeReply(is_committed=True)
+        return ProposeReply(is_committed=True, is_outdated=result == RESULT_OUTDATED)
 
     # Reads
 
@@ -227,9 +288,14 @@
             UnavailableError: If there is no leader, if the leader cannot confirm that
                 it still leads, or if this instance lags behind it.
         """
-        leader = self.replica.leader
-        if leader is None:
-            raise _unavailable_error("the control group has no leader")
+        version = (await self._read_at_leader()).version
+        if not await self._wait_for_version(version):
+            raise _unavailable_error("this instance lags behind the control group")
+        return version
+
+    async def _read_at_leader(self) -> ConfirmedRead:
+        """Return what the leader holds, confirmed by a majority after this call."""
+        leader = self._known_leader()
         reply: object
         if leader == self._own_info.address:
             reply = await self.handle_read_request(ReadRequest())
@@ -239,9 +305,13 @@
             raise _unavailable_error(
                 "the leader is not sure of the newest configuration"
             )
-        if not await self._wait_for_version(reply.version):
-            raise _unavailable_error("this instance lags behind the control group")
-        return reply.version
+        return ConfirmedRead(reply.version, reply.evacuation_numbers)
+
+    def _known_leader(self) -> str:
+        leader = self.replica.leader
+        if leader is None:
+            raise _unavailable_error("the control group has no leader")
+        return leader
 
     async def handle_read_request(self, request: ReadRequest) -> ReadReply:
         """Return a reply with the version in force, or with None if it is uncertain.
@@ -254,7 +324,10 @@
         while self._clock.monotonic_ms() - start_ms < _READ_WAIT_MS:
             confirmed_ms = self.replica.confirmed_at_ms()
             if confirmed_ms is not None and confirmed_ms >= start_ms:
-                return ReadReply(version=self._state.stored_configuration.version)
+                return ReadReply(
+                    version=self._state.stored_configuration.version,
+                    evacuation_numbers=self._state.evacuation_numbers,
+                )
             if not self.replica.is_leader:
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
--- a/packages/cuminbendd/src/cuminbendd/control/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_instance.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import random
+from collections.abc import Callable
 from typing import Any
 
 from cuminbend.crashes import CrashHistory, CrashReport
@@ -464,6 +465,19 @@
         self.metrics.count_events("command")
         await self._group.commit(command)
 
+    async def order_evacuation(
+        self,
+        data_centre: str,
+        is_evacuated: bool,
+        *,
+        is_abandoned: Callable[[], bool],
+    ) -> None:
+        """Commit an evacuation; see :meth:`ControlGroup.order_evacuation`."""
+        self.metrics.count_events("command")
+        await self._group.order_evacuation(
+            data_centre, is_evacuated, is_abandoned=is_abandoned
+        )
+
     async def read_newest_configuration(self) -> StoredConfiguration:
         """Return the newest configuration.
 
--- a/packages/cuminbendd/src/cuminbendd/control/_messages.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_messages.py
@@ -1,6 +1,6 @@
 """Messages between control instances."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cuminbend.consensus import CONSENSUS_MESSAGES
 from cuminbend.registry import Registration
@@ -18,21 +18,33 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ProposeReply:
-    """Reports whether a command was committed; if not, it may be committed later."""
+    """Reports whether a command was committed; if not, it may be committed later.
+
+    Attributes:
+        is_outdated: Whether it is committed without effect, because another command
+            took its position.
+    """
 
     is_committed: bool
+    is_outdated: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReadRequest:
-    """Asks the leader for the version in force."""
+    """Asks the leader for the version in force and the latest evacuations."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReadReply:
-    """Contains the version in force, or None if the leader cannot confirm it."""
+    """Contains the version in force, or None if the leader cannot confirm it.
+
+    Attributes:
+        evacuation_numbers: Number of the latest evacuation or withdrawal by data
+            centre.
+    """
 
     version: int | None
+    evacuation_numbers: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
