Send nothing to an upstream between its end and its next registration

Cause: an entry instance that had seen a process end sent to its address again as soon as a connection was accepted. It took the new process for the one that had ended, so each further crash was recorded with the start time of the first process and counted once. The same cause let unlimited requests through to a process that was back cold.

Change: the end of a process (a refused connection after an accepted one) is kept by identity and start time. Recorded crashes tell the other instances of the ends. The loss of the last connection, also of an idle one, is checked at once. A reset connection, a closed idle one and an upstream that does not listen yet are no ends.

--- a/packages/cuminbend/src/cuminbend/forwarding/__init__.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/__init__.py
@@ -4,6 +4,7 @@
 from cuminbend.forwarding._attempt_counts import AttemptCounts
 from cuminbend.forwarding._back_off import parse_pause_ms
 from cuminbend.forwarding._delegation import FanOutPlan, plan_fan_out
+from cuminbend.forwarding._ended_processes import EndedProcesses
 from cuminbend.forwarding._gather import (
     RECORD_BYTES,
     PartCollector,
@@ -40,6 +41,7 @@
     "RECORD_BYTES",
     "AttemptCounts",
     "CallerLimits",
+    "EndedProcesses",
     "FanOutPlan",
     "LimitShare",
     "PartCollector",
--- a/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_replicas.py
@@ -86,6 +86,7 @@
         slowness: Moving average of the latency divided by the median of the route.
         failure_rate: Moving average of failed attempts, 0 to 1.
         pause_until_ms: Time until which the upstream has asked for no requests.
+        ended_until_ms: Time until which the process counts as ended, 0 if it lives.
         leaving_since_ms: Time at which the upstream was first heard to leave, None if
             it was not.
         limit_share: Part of this instance in the limit on requests that the upstream
@@ -99,6 +100,7 @@
         "backoff_until_ms",
         "cold_until_ms",
         "data_centre",
+        "ended_until_ms",
         "failure_rate",
         "in_flight",
         "incarnation_ms",
@@ -143,6 +145,7 @@
         self.slowness = 1.0
         self.failure_rate = 0.0
         self.pause_until_ms = 0.0
+        self.ended_until_ms = 0.0
         self.leaving_since_ms: float | None = None
         self.limit_share: LimitShare | None = None
         self.running = 0
@@ -203,9 +206,14 @@
         )
 
     def takes_requests_at(self, now_ms: float) -> bool:
-        """Return whether a request may be sent, by what the replica has stated."""
+        """Return whether a request may be sent, by what the replica has stated.
+
+        None may be sent to a process that has ended.
+        """
         if self.state is not ReplicaState.READY or self.pause_until_ms > now_ms:
             return False
+        if self.ended_until_ms > now_ms:
+            return False
         if not self.is_leaving_at(now_ms):
             return True
         assert self.leaving_since_ms is not None
--- a/packages/cuminbendd/src/cuminbendd/entry/_pool.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol
 
 from cuminbend.forwarding import Replica
@@ -51,6 +52,7 @@
         response_memory: Bound on unfinished responses of all pools of the instance.
         limit: Number of connections that may be open at the same time.
         keeps_idle: Whether connections stay open between attempts.
+        on_ended: Called when the upstream's process is found to have ended.
     """
 
     def __init__(
@@ -63,8 +65,11 @@
         response_memory: ResponseMemory,
         limit: int,
         keeps_idle: bool = True,
+        on_ended: Callable[[Replica], None] = lambda replica: None,
     ) -> None:
         self.replica = replica
+        self._on_ended = on_ended
+        self._has_connected = False
         self.limit = limit
         self._keeps_idle = keeps_idle
         self._settings = settings
@@ -140,9 +145,12 @@
         A connection also breaks when it alone is reset. Then others stay open, or a new
         one is accepted; the process that has ended refuses it.
         """
+        return await self._begin_end_check()
+
+    def _begin_end_check(self) -> "asyncio.Task[bool]":
         if self._end_check is None or self._end_check.done():
             self._end_check = asyncio.ensure_future(self._check_end())
-        return await self._end_check
+        return self._end_check
 
     async def _check_end(self) -> bool:
         await asyncio.sleep(_END_CHECK_DELAY_S)
@@ -226,9 +234,13 @@
             self._connecting_count -= 1
             self._was_refused = isinstance(error, ConnectionRefusedError)
             self._record_unreachable(error)
+            # A process that has never accepted a connection may be about to listen.
+            if self._was_refused and self._has_connected and not self._is_closed:
+                self._on_ended(self.replica)
             return
         self._connecting_count -= 1
         self._was_refused = False
+        self._has_connected = True
         if self._is_closed:
             connection.close()
             return
@@ -277,3 +289,17 @@
             self._idle_connections.remove(connection)
         if self._waiting_attempts and not self._is_closed:
             self._connect_if_needed()
+        if self._is_unexpected_close(connection):
+            self._begin_end_check()
+
+    def _is_unexpected_close(self, connection: UpstreamConnection) -> bool:
+        """Return whether the close shows that the process may have ended.
+
+        An upstream closes a connection that has been idle for long.
+        """
+        if self._is_closed or self._open_connections:
+            return False
+        idle_ms = self._clock.monotonic_ms() - connection.idle_since_ms
+        return connection.was_closed_by_peer and (
+            connection.observer is not None or idle_ms < self._idle_limit_ms(connection)
+        )
--- a/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_upstreams.py
@@ -5,8 +5,10 @@
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 
+from cuminbend.crashes import Crash
 from cuminbend.directory import active_entry_count, choose_active_entries
 from cuminbend.forwarding import (
+    EndedProcesses,
     RecoveryEstimate,
     Replica,
     ReplicaGroup,
@@ -78,6 +80,7 @@
         self._pools: dict[str, ConnectionPool] = {}
         self._registrations: dict[str, Registration] = {}
         self._unconfirmed_since_ms: dict[str, float] = {}
+        self._ended = EndedProcesses()
         self._policies: dict[str, ServicePolicy] = {}
         self._entries: dict[str, str] = {settings.instance: settings.data_centre}
         self._active_entries = frozenset({settings.instance})
@@ -257,6 +260,9 @@
             group = self._groups[registration.service] = ReplicaGroup(
                 service=registration.service, data_centre=self._settings.data_centre
             )
+        replica.ended_until_ms = self._ended.ended_until_ms(
+            registration.upstream, registration.incarnation_ms
+        )
         group.add(replica)
         pool = ConnectionPool(
             replica=replica,
@@ -266,6 +272,7 @@
             response_memory=self._response_memory,
             limit=self._connection_limit(registration.service),
             keeps_idle=self.is_active,
+            on_ended=self.record_end,
         )
         self._pools[registration.upstream] = pool
         if not registration.cold_left_ms:
@@ -299,6 +306,42 @@
         )
         self._remove_upstream(replica.upstream, cause="misdirected")
 
+    # Ends of processes
+
+    def record_end(self, replica: Replica) -> None:
+        """Record that the process of an upstream has ended; see ``EndedProcesses``."""
+        self._ended.record_observed(
+            replica.upstream, replica.incarnation_ms, now_ms=self.clock.monotonic_ms()
+        )
+        self._apply_end(replica.upstream, source="observed")
+
+    def merge_reported_ends(self, crashes: Iterable[Crash]) -> None:
+        """Record the ends of processes that other instances reported as crashes."""
+        now_ms = self.clock.monotonic_ms()
+        for crash in crashes:
+            if self._ended.record_reported(
+                crash.upstream, crash.incarnation_ms, now_ms=now_ms
+            ):
+                self._apply_end(crash.upstream, source="reported")
+
+    def _apply_end(self, upstream: str, *, source: str) -> None:
+        pool = self._pools.get(upstream)
+        if pool is None:
+            return
+        replica = pool.replica
+        replica.ended_until_ms = self._ended.ended_until_ms(
+            upstream, replica.incarnation_ms
+        )
+        if replica.ended_until_ms:
+            logger.info(
+                "event=upstream_ended upstream=%s service=%s incarnation_ms=%d "
+                "source=%s",
+                upstream,
+                replica.service,
+                replica.incarnation_ms,
+                source,
+            )
+
     # What upstreams state of themselves
 
     def record_limit(self, replica: Replica, limit_per_s: float | None) -> bool:
@@ -541,7 +584,9 @@
         for pool in self._pools.values():
             replica = pool.replica
             state = str(replica.state)
-            if replica.cold_until_ms > now_ms:
+            if replica.ended_until_ms > now_ms:
+                state = "ended"
+            elif replica.cold_until_ms > now_ms:
                 state = "cold"
             elif replica.backoff_until_ms > now_ms:
                 state = "backing_off"
--- a/packages/cuminbendd/src/cuminbendd/http1/_upstream.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/_upstream.py
@@ -150,6 +150,11 @@
         self._received_bytes = self._body_bytes = 0
         self._transport.write(request)
 
+    @property
+    def was_closed_by_peer(self) -> bool:
+        """Whether the upstream ended the connection although it could be used again."""
+        return self._is_closed and self._is_reusable
+
     def close(self, kind: FailureKind = FailureKind.ABANDONED) -> None:
         """Close at once; a request that waits fails with ``kind``."""
         self._is_reusable = False
