Commit leaves of upstreams to the control log before the acknowledgement

Cause: a leave was acknowledged once a majority of control processes had it in memory, and the entry processes get it only with the next update of the feed. The searcher sends nothing more, and an upstream that is missing from the list of a control process that has just started stays in use for 10 s.

Change: the leave is a command of the control log, committed beside the calls to the other instances. A control instance merges the recorded leaves into its registrations before it counts as current, so the first full list that an entry instance gets says that the upstream is leaving or gone. Heartbeats that repeat an acknowledged leave commit nothing.

--- a/packages/cuminbend/src/cuminbend/newest/_state.py
+++ b/packages/cuminbend/src/cuminbend/newest/_state.py
@@ -27,6 +27,7 @@
     CrashTable,
 )
 from cuminbend.exceptions import CorruptDataError
+from cuminbend.registry import Leave, LeaveTable, Registration, UpstreamState
 
 logger = logging.getLogger(__name__)
 
@@ -35,6 +36,7 @@
 _KIND_EVACUATION_ON = 2
 _KIND_EVACUATION_OFF = 3
 _KIND_CRASHES = 4
+_KIND_LEAVE = 5
 _SNAPSHOT_HEADER_LENGTH = struct.Struct("<I")
 
 # Results of :meth:`HighestVersionState.apply`.
@@ -75,7 +77,14 @@
     report: CrashReport
 
 
-Command = SetConfiguration | SetEvacuated | RecordCrashes
+@dataclass(frozen=True, slots=True)
+class RecordLeave:
+    """Command to record that an upstream is leaving or gone."""
+
+    registration: Registration
+
+
+Command = SetConfiguration | SetEvacuated | RecordCrashes | RecordLeave
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +104,9 @@
     if isinstance(command, RecordCrashes):
         body = json.dumps(asdict(command.report)).encode()
         return _ENTRY_HEADER.pack(_KIND_CRASHES, 0) + body
+    if isinstance(command, RecordLeave):
+        body = json.dumps(asdict(command.registration)).encode()
+        return _ENTRY_HEADER.pack(_KIND_LEAVE, 0) + body
     kind = _KIND_EVACUATION_ON if command.evacuated else _KIND_EVACUATION_OFF
     return _ENTRY_HEADER.pack(kind, command.number) + command.data_centre.encode()
 
@@ -115,6 +127,8 @@
         return SetEvacuated(body.decode(), kind == _KIND_EVACUATION_ON, version)
     if kind == _KIND_CRASHES:
         return RecordCrashes(_decode_report(body))
+    if kind == _KIND_LEAVE:
+        return RecordLeave(_decode_registration(body))
     raise CorruptDataError(
         f"a log entry has the unknown kind {kind}; upgrade all voters"
     )
@@ -135,8 +149,21 @@
         ) from error
 
 
+def _decode_registration(body: bytes) -> Registration:
+    try:
+        return _registration_from(json.loads(body))
+    except (ValueError, TypeError, KeyError) as error:
+        raise CorruptDataError(
+            f"a record of a leave is unreadable ({error!r}); upgrade all voters"
+        ) from error
+
+
+def _registration_from(fields: dict[str, Any]) -> Registration:
+    return Registration(**{**fields, "state": UpstreamState(fields["state"])})
+
+
 class HighestVersionState:
-    """State machine of the configuration, evacuations and crashing requests.
+    """State machine of the configuration, evacuations, crashing requests and leaves.
 
     Attributes:
         stored_configuration: The configuration with the highest version.
@@ -144,6 +171,7 @@
         evacuation_numbers: Number of the last evacuation or withdrawal that took
             effect, by data centre.
         crash_table: Requests that crashed upstreams.
+        leave_table: Acknowledged leaves of upstreams.
         change_count: Number of changes so far, by which readers detect a change.
         on_change: Called after each change. It must not raise.
     """
@@ -153,6 +181,8 @@
         self.evacuated: frozenset[str] = frozenset()
         self.evacuation_numbers: dict[str, int] = {}
         self.crash_table = CrashTable()
+        self.leave_table = LeaveTable()
+        self._entry_at_ms = 0.0
         self.change_count = 0
         self.on_change: Callable[[], None] | None = None
 
@@ -165,6 +195,7 @@
             ``RESULT_OUTDATED`` if another command took the position of this one, else
             ``RESULT_DONE``.
         """
+        self._entry_at_ms = at_ms
         try:
             is_outdated = self._execute(decode_command(data))
         except CorruptDataError as error:
@@ -218,6 +249,15 @@
             self._notify_change()
         return False
 
+    @_execute.register
+    def _(self, command: RecordLeave) -> bool:
+        leave = Leave(
+            registration=command.registration, recorded_at_ms=self._entry_at_ms
+        )
+        if self.leave_table.record(leave):
+            self._notify_change()
+        return False
+
     def _notify_change(self) -> None:
         self.change_count += 1
         if self.on_change is not None:
@@ -235,6 +275,7 @@
                     for history in self.crash_table.histories()
                     for crash in history.crashes
                 ],
+                "leaves": [asdict(leave) for leave in self.leave_table.leaves()],
             }
         ).encode()
         return (
@@ -260,6 +301,13 @@
         self.evacuated = frozenset(header["evacuated"])
         self.evacuation_numbers = header.get("evacuation_numbers", {})
         self.crash_table.replace_all(_decode_histories(header.get("crashes", [])))
+        self.leave_table.replace_all(
+            Leave(
+                registration=_registration_from(fields["registration"]),
+                recorded_at_ms=fields["recorded_at_ms"],
+            )
+            for fields in header.get("leaves", [])
+        )
         self._notify_change()
 
 
--- a/packages/cuminbend/src/cuminbend/newest/tests/test_highest_version_state.py
+++ b/packages/cuminbend/src/cuminbend/newest/tests/test_highest_version_state.py
@@ -10,11 +10,13 @@
     Command,
     HighestVersionState,
     RecordCrashes,
+    RecordLeave,
     SetConfiguration,
     SetEvacuated,
     decode_command,
     encode_command,
 )
+from cuminbend.registry import Registration, UpstreamState
 
 
 def state_after(*commands: Command) -> HighestVersionState:
@@ -112,6 +114,27 @@
         assert table.history("g").verdict is Verdict.CLEAR
 
 
+def test_leave_survives_a_snapshot() -> None:
+    """Guards against an upstream that is used again after its acknowledged leave."""
+    gone = Registration(
+        upstream="u",
+        service="s",
+        address="127.0.0.1:1",
+        data_centre="a",
+        slots=1,
+        state=UpstreamState.GONE,
+        cold_left_ms=0.0,
+        incarnation_ms=1,
+        sequence=2,
+        holder="c1",
+    )
+    state = state_after(RecordLeave(gone), RecordLeave(gone))
+    restored = HighestVersionState()
+    restored.restore(state.snapshot())
+    for table in (state.leave_table, restored.leave_table):
+        assert [leave.registration for leave in table.changes_since(0)] == [gone]
+
+
 def test_snapshot_of_a_version_without_crashes_is_restored() -> None:
     """Guards against a voter that cannot start with its old disk after an upgrade."""
     header = b'{"version": 7, "evacuated": ["a"]}'
--- a/packages/cuminbend/src/cuminbend/registry/_leave_quorum.py
+++ b/packages/cuminbend/src/cuminbend/registry/_leave_quorum.py
@@ -3,7 +3,7 @@
 An upstream may leave with a single call and send nothing after its acknowledgement.
 Registrations are kept in memory, so the acknowledgement waits until a majority has
 recorded the leave. The loss of a minority then does not bring the upstream back into
-use.
+use. The control log keeps the leave as well; see :mod:`cuminbend.registry._leaves`.
 """
 
 from collections.abc import Collection
--- a/packages/cuminbendd/src/cuminbendd/control/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_instance.py
@@ -90,6 +90,7 @@
         self._registrations = RegistrationTable(
             holder=settings.channel_address, silent_after_ms=settings.silent_after_ms
         )
+        self._merged_leave_revision = 0
         self._statements = StatementTable()
         self._known_instances = KnownInstances(
             own_info=self._own_info, entry_retention_ms=settings.entry_retention_ms
@@ -109,6 +110,7 @@
             own_address=settings.channel_address,
             voters=lambda: {voter.instance for voter in self._group.replica.voters},
             peers=self._peer_addresses,
+            commit=self._group.commit,
         )
         self.upstream_reports = UpstreamReports(
             registrations=self._registrations,
@@ -435,8 +437,17 @@
             self._state.stored_configuration.version,
             ",".join(sorted(self._state.evacuated)),
         )
+        self._merge_recorded_leaves()
         self._feed_server.notify()
 
+    def _merge_recorded_leaves(self) -> None:
+        """Merge leaves from the log, which survive the loss of all registrations."""
+        table = self._state.leave_table
+        now_ms = self._clock.monotonic_ms()
+        for leave in table.changes_since(self._merged_leave_revision):
+            self._registrations.merge(leave.registration, now_ms=now_ms)
+        self._merged_leave_revision = table.revision
+
     # Channel
 
     async def _on_stream(self, hello: Any, stream: FrameStream) -> None:
--- a/packages/cuminbendd/src/cuminbendd/control/_leaves.py
+++ b/packages/cuminbendd/src/cuminbendd/control/_leaves.py
@@ -1,13 +1,14 @@
-"""Passes leaves of upstreams to the other control instances before the acknowledgement.
+"""Records leaves of upstreams in the control group before the acknowledgement.
 
 :class:`cuminbend.registry.LeaveQuorum` decides when a leave may be acknowledged.
 """
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection, Container
+from collections.abc import Awaitable, Callable, Collection, Container
 
 from cuminbend.exceptions import ChannelError, UnavailableError
+from cuminbend.newest import Command, RecordLeave
 from cuminbend.registry import LeaveQuorum, Registration
 
 from cuminbendd.channel import ChannelPool
@@ -27,6 +28,7 @@
         own_address: Channel address of this control instance.
         voters: Returns the channel addresses of the voters of the control group.
         peers: Returns the channel addresses of all other control instances.
+        commit: Commits a command.
     """
 
     def __init__(
@@ -35,7 +37,9 @@
         own_address: str,
         voters: Callable[[], Collection[str]],
         peers: Callable[[], Collection[str]],
+        commit: Callable[[Command], Awaitable[None]],
     ) -> None:
+        self._commit = commit
         self._own_address = own_address
         self._voters = voters
         self._peers = peers
@@ -46,15 +50,19 @@
     async def confirm(
         self, upstream: str, registration: Registration | None
     ) -> Registration:
-        """Return the registration once a majority of the voters has recorded a leave.
+        """Return the registration once a leave is committed and known to a majority.
+
+        The commit survives the loss of all control processes at the same moment. The
+        calls tell the other instances before the acknowledgement.
 
         Args:
             upstream: The leaving upstream.
             registration: Its registration here, or None if it is unknown here.
 
         Raises:
-            UnavailableError: If no majority confirmed in time, or if no instance that
-                replied knows the upstream.
+            UnavailableError: If no majority confirmed in time, if no instance that
+                replied knows the upstream, or if it is not known whether the leave is
+                committed.
         """
         if registration is not None and self._is_confirmed(registration):
             return registration
@@ -63,9 +71,14 @@
             receiver=self._own_address,
             registration=registration,
         )
-        await self._collect_replies(
-            quorum, LeaveRequest(upstream=upstream, registration=registration)
-        )
+        request = LeaveRequest(upstream=upstream, registration=registration)
+        if registration is None:
+            await self._collect_replies(quorum, request)
+        else:
+            await asyncio.gather(
+                self._collect_replies(quorum, request),
+                self._commit(RecordLeave(registration)),
+            )
         if quorum.registration is None or not quorum.is_complete:
             logger.warning(
                 "event=leave_not_confirmed upstream=%s known=%s missing=%d",
@@ -78,6 +91,8 @@
                 "send the message to another one",
                 retry_after_ms=_RETRY_AFTER_MS,
             )
+        if registration is None:
+            await self._commit(RecordLeave(quorum.registration))
         self._confirmed_orders[upstream] = _leave_order(quorum.registration)
         return quorum.registration
 
