Count the headers and trailers of responses as response memory

Reported by other operators: a searcher sent bytes without end in a head or a body, and the machine that had called it ran out of memory.

Cause here: bytes outside the body are limited to 64 KiB and 8 bytes for each byte of the body. After a body of 512 KiB, short trailers passed that limit late, and each one takes a tuple and two objects. Eight connections held 876 MB where 4 MiB are set as the limit.

Change: headers and trailers of one message are limited to 64 KiB, and what they take beyond 4 KiB counts as response memory, with the objects. The limit on the sum over all connections then holds for heads as well.

Evidence: test_bytes_without_end_are_cut_off[trailer lines after a body] failed with a peak of 876 MB and passes now; the other 14 kinds passed before and after.

--- a/packages/cuminbendd/src/cuminbendd/http1/_upstream.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/_upstream.py
@@ -19,6 +19,11 @@
 # bytes without end. A chunk of one byte comes with five bytes of framing.
 _MAX_OVERHEAD_BYTES = 64 << 10
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Memory that a header takes beside the bytes of its name and value: a tuple and two
+# objects. Short trailers after a long body took 200 times the memory of the body.
+_HEADER_OVERHEAD_BYTES = 160
+# The headers of usual responses are not counted, only what exceeds this memory.
+_USUAL_HEADER_MEMORY_BYTES = 4 << 10
 
 
 class FailureKind(StrEnum):
@@ -131,6 +136,7 @@
 
     def _reset_message(self) -> None:
         self._headers: Headers = []
+        self._header_bytes = self._header_memory_bytes = 0
         # One buffer, because a list of chunks of a few bytes takes far more memory than
         # the chunks themselves.
         self._body = bytearray()
@@ -228,6 +234,7 @@
         overhead_bytes = self._received_bytes - self._body_bytes
         return (
             self._body_bytes > self._memory.max_response_bytes
+            or self._header_bytes > _MAX_OVERHEAD_BYTES
             or overhead_bytes
             > _MAX_OVERHEAD_BYTES + _MAX_OVERHEAD_PER_BODY_BYTE * self._body_bytes
         )
@@ -259,6 +266,14 @@
         self._reset_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Record a header or trailer; many of them count as response memory."""
+        if self._is_closed:
+            return
+        size_bytes = len(name) + len(value)
+        self._header_bytes += size_bytes
+        self._header_memory_bytes += size_bytes + _HEADER_OVERHEAD_BYTES
+        if self._header_memory_bytes > _USUAL_HEADER_MEMORY_BYTES:
+            self._memory.add(self, size_bytes + _HEADER_OVERHEAD_BYTES)
         name = name.lower()
         self._headers.append((name, value))
         if name in (b"content-length", b"transfer-encoding"):
--- a/packages/cuminbendd/src/cuminbendd/http1/tests/test_upstream_connection.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/tests/test_upstream_connection.py
@@ -235,6 +235,12 @@
         FIRST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Filler: ",
         b"f" * 1000,
     ),
+    "trailer lines after a body": (
+        FIRST_HEAD
+        + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n"
+        % (MEMORY_BYTES // 8, b"b" * (MEMORY_BYTES // 8)),
+        b"a:\r\n" * 64,
+    ),
     "chunks": (
         FIRST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
         b"3e8\r\n" + b"b" * 1000 + b"\r\n",
