Keep the state of a route by host and prefix, not by name

Cause: the choice among the services of a route, and its hedge delay, were kept by the name of the route. Requests are matched by host and prefix, and nothing says that names are unique.

Change: the state is kept by host and prefix; the name is a label for logs and metrics.

--- a/packages/cuminbend/src/cuminbend/forwarding/_routes.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_routes.py
@@ -20,6 +20,7 @@
     """How the requests of one path prefix are forwarded.
 
     Attributes:
+        name: Label for logs and metrics; several routes may have the same one.
         host: Value of the request's ``Host`` header.
         path_prefix: Prefix of the request path; begins and ends with a slash.
         idempotent: Whether a request may run more than once.
@@ -48,6 +49,11 @@
     top_k: int = 0
     min_coverage: float = 1.0
 
+    @property
+    def key(self) -> str:
+        """Identifies the route in a configuration, and over configurations."""
+        return f"{self.host} {self.path_prefix}"
+
     @property
     def services(self) -> tuple[str, ...]:
         """Names of all services of the route."""
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -243,6 +243,7 @@
                 body=prepared.body,
                 shards=group,
                 route=route.name,
+                route_key=route.key,
                 answer_in_ms=max(0.0, answer_in_ms - _MERGE_MARGIN_MS),
                 deadline_in_ms=max(0.0, prepared.deadline_ms - now_ms - round_trip_ms),
                 max_attempts=route.max_attempts,
--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -116,9 +116,9 @@
             weights = None
             if route.backends:
                 weights = WeightedRoundRobin(route.backends, offset=random.random())
-            known = self._route_states.get(route.name)
+            known = self._route_states.get(route.key)
             hedging = known.hedging if known else None
-            states[route.name] = RouteState(
+            states[route.key] = RouteState(
                 hedging=hedging or HedgeDelay(objective_ms=route.objective_ms),
                 weights=weights,
             )
@@ -129,9 +129,9 @@
         """Return whether a request that starts now is likely to end before a stop."""
         return self.clock.monotonic_ms() + route.objective_ms < self.stop_at_ms
 
-    def hedge_delay_of(self, route: str) -> HedgeDelay | None:
+    def hedge_delay_of(self, route_key: str) -> HedgeDelay | None:
         """Return the hedge delay of a route, or None if the route is not configured."""
-        state = self._route_states.get(route)
+        state = self._route_states.get(route_key)
         return state.hedging if state else None
 
     def prepare_request(self, request: HttpRequest, route: Route) -> "PreparedRequest":
@@ -146,7 +146,7 @@
 
     def route_state(self, route: Route) -> RouteState:
         """Return the state of a route of the configuration in force."""
-        return self._route_states[route.name]
+        return self._route_states[route.key]
 
     # Requests that crash upstreams
 
--- a/packages/cuminbendd/src/cuminbendd/entry/_helper.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_helper.py
@@ -116,7 +116,7 @@
         self._fan_out = ShardFanOut(
             context=context,
             prepared=self._prepared,
-            hedging=context.hedge_delay_of(delegate.route)
+            hedging=context.hedge_delay_of(delegate.route_key)
             or HedgeDelay(objective_ms=max(1.0, delegate.answer_in_ms)),
             max_attempts=delegate.max_attempts,
             retry_until_ms=now_ms + delegate.answer_in_ms,
--- a/packages/cuminbendd/src/cuminbendd/entry/_peers.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_peers.py
@@ -21,12 +21,14 @@
         task_id: Id of the task, unique on this connection.
         request_id: Id of the caller's request.
         head: Request line and headers that every shard gets.
-        route: Name of the route, for which the other instance has its own hedge delay.
+        route: Name of the route.
         answer_in_ms: Time after which to answer with the parts that have arrived.
         deadline_in_ms: Time after which no part is of use.
         max_attempts: Number of attempts that may run for one shard.
         top_k: Number of records to return.
         fingerprint: Fingerprint of the request; empty from a version without it.
+        route_key: Key of the route, for which the other instance has its own hedge
+            delay; empty from a version without it.
     """
 
     task_id: int
@@ -40,6 +42,7 @@
     max_attempts: int
     top_k: int
     fingerprint: str = ""
+    route_key: str = ""
 
 
 class Accepted(msgspec.Struct, array_like=True, tag=2):
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_updates.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_updates.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from cuminbend.forwarding import RecoverySettings
+from cuminbend.forwarding import RecoverySettings, WeightedService
 from cuminbend.registry import UpstreamState
 
 from cuminbendd.entry.tests._harness import EntryHarness, FakeUpstream, run
@@ -40,6 +40,34 @@
     run(test)
 
 
+def test_routes_of_one_name_keep_their_services() -> None:
+    """Guards against requests that another service runs than their route names.
+
+    An operator split a route and kept its name for both parts.
+    """
+
+    async def test() -> None:
+        first, second = FakeUpstream("u", "alpha"), FakeUpstream("v", "beta")
+        async with EntryHarness(first, second) as harness:
+            part = replace(
+                harness.route,
+                path_prefix="/r/b/",
+                backends=(WeightedService("beta", 1.0),),
+            )
+            harness.table = replace(
+                harness.table, version=2, routes=(harness.route, part)
+            )
+            harness.entry.on_update(
+                "c1", Update(is_current=True, content=b"-", version=2)
+            )
+            for path in ("/r/x", "/r/b/x"):
+                assert (await harness.send_request(path=path)).status == 200
+            assert [request.target for request in first.seen] == [b"/r/x"]
+            assert [request.target for request in second.seen] == [b"/r/b/x"]
+
+    run(test)
+
+
 def test_rejected_callers_are_told_when_upstreams_have_registered() -> None:
     """Guards against callers who come back while the control group still recovers."""
 
