Bound the replies of all upstreams together on the product's own interface

The report of bytes without end, on the path that does not use the platform's connections: one reply was limited to 16 MiB, but not the sum over connections. Many upstreams in trouble at once could take the memory of an instance.

Change: over 64 MiB, replies of at least average size are given up, so short ones are still read. Heads, interim responses and trailers are bounded by the parser of httpcore, by reading.

--- a/packages/cuminbendd/src/cuminbendd/searchers/_connections.py
+++ b/packages/cuminbendd/src/cuminbendd/searchers/_connections.py
@@ -14,12 +14,15 @@
 from cuminbend.ports import Clock, ExchangeObserver
 
 from cuminbendd.searchers._base import UpstreamFormat
+from cuminbendd.searchers._reply_memory import ReplyMemory
 from cuminbendd.searchers._streams import DeferredCloseBackend, DeferredCloseStream
 
 # Longer than any connect on a healthy path (6 ms), shorter than a query's deadline.
 CONNECT_TIMEOUT_S = 0.25
 # A larger reply is a fault of the upstream; reading it would exhaust memory.
 MAX_REPLY_BYTES = 16 * 1024 * 1024
+# Room for the replies that are read at the same time; four of the largest ones fit.
+MAX_HELD_BYTES = 4 * MAX_REPLY_BYTES
 
 
 class _Connection:
@@ -71,6 +74,7 @@
         self._clock = clock
         self._group = group
         self._connections_by_upstream: dict[str, _UpstreamConnections] = {}
+        self._reply_memory = ReplyMemory(limit_bytes=MAX_HELD_BYTES)
 
     async def exchange(
         self,
@@ -144,7 +148,7 @@
         try:
             with anyio.fail_after(timeout_ms / 1000):
                 response = await connection.http.handle_async_request(message)
-                body = await _read_body(response, upstream.upstream)
+                body = await read_body(response, upstream.upstream, self._reply_memory)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             if connection.observer is not None:
                 connection.observer.connection_closed()
@@ -174,21 +178,35 @@
         return _with_service_time(reply, self._clock.monotonic_ms() - started_ms)
 
 
-async def _read_body(response: httpcore.Response, upstream: str) -> bytes:
+async def read_body(
+    response: httpcore.Response, upstream: str, memory: ReplyMemory
+) -> bytes:
+    """Return the body of a response.
+
+    Raises:
+        UpstreamError: If the body is too large, alone or together with those of other
+            responses.
+    """
     parts: list[bytes] = []
-    size_bytes = 0
-    async for part in response.aiter_stream():
-        size_bytes += len(part)
-        if size_bytes > MAX_REPLY_BYTES:
-            raise UpstreamError(
-                f"upstream {upstream} sent more than {MAX_REPLY_BYTES} bytes; limit "
-                "its result size",
-                kind=UpstreamErrorKind.MALFORMED,
-                run_state=RunState.UNKNOWN,
-            )
-        parts.append(part)
-    await response.aclose()
-    return b"".join(parts)
+    with memory.hold() as held:
+        async for part in response.aiter_stream():
+            if not held.may_grow(len(part)):
+                raise _oversized_error(
+                    upstream, "more than fits beside the replies of all upstreams"
+                )
+            if held.size_bytes > MAX_REPLY_BYTES:
+                raise _oversized_error(upstream, f"more than {MAX_REPLY_BYTES} bytes")
+            parts.append(part)
+        await response.aclose()
+        return b"".join(parts)
+
+
+def _oversized_error(upstream: str, size: str) -> UpstreamError:
+    return UpstreamError(
+        f"upstream {upstream} sent {size}; limit its result size",
+        kind=UpstreamErrorKind.MALFORMED,
+        run_state=RunState.UNKNOWN,
+    )
 
 
 async def _close_connection(connection: _Connection) -> None:
--- /dev/null
+++ b/packages/cuminbendd/src/cuminbendd/searchers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the subpackage."""
