Read requests that ask to change the protocol whole, and answer them once

Callers saw: a request with an Upgrade header (Java's client adds one to its first request on plain HTTP) was answered, and a 400 that belonged to no request followed on the same connection. A request with such a header and a body ran without its body. CONNECT was answered with 404 and then 400.

Cause: the parser stops behind the head of these requests and reports them as complete. The server handled them as they stood, took the stop for an error and wrote an error response, although the request had been answered already.

Change: the head of a request to upgrade is parsed again without its Upgrade header, so that its body and the requests behind it are read as HTTP/1.1; RFC 9110, section 7.8, allows a server to ignore the header. CONNECT is refused before it is handled, with one response, and the connection is closed.

--- a/packages/cuminbendd/src/cuminbendd/http1/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/_server.py
@@ -240,10 +240,8 @@
         self._last_active_ms = self._server.clock.monotonic_ms()
         self._has_parsed = False
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
             self._check_unparsed_bytes(len(data))
-        except httptools.HttpParserUpgrade:
-            self._reject_request(HTTPStatus.BAD_REQUEST, "upgrade")
         except _RejectedError as error:
             self._reject_request(error.status, error.cause)
         except httptools.HttpParserCallbackError as error:
@@ -256,6 +254,40 @@
         except httptools.HttpParserError as error:
             self._reject_request(HTTPStatus.BAD_REQUEST, str(error))
 
+    def _parse(self, data: bytes) -> None:
+        """Feed the parser, which stops after the head of a request to upgrade.
+
+        The server ignores such a request (RFC 9110, section 7.8): the head is parsed
+        again without its ``Upgrade`` header.
+        """
+        unparsed = memoryview(data)
+        while True:
+            try:
+                self._parser.feed_data(unparsed)
+                return
+            except httptools.HttpParserUpgrade as error:
+                (head_end,) = error.args
+                unparsed = unparsed[head_end:]
+                head = self._encode_head_without_upgrade()
+                self._parser = httptools.HttpRequestParser(self)
+                self._parser.feed_data(head)
+
+    def _encode_head_without_upgrade(self) -> bytes:
+        lines = [
+            b"%s %s HTTP/%s"
+            % (
+                self._parser.get_method(),
+                self._target,
+                self._parser.get_http_version().encode(),
+            )
+        ]
+        lines += [
+            b"%s: %s" % (name, value)
+            for name, value in self._headers
+            if name != b"upgrade"
+        ]
+        return b"\r\n".join((*lines, b"", b""))
+
     def _check_unparsed_bytes(self, size_bytes: int) -> None:
         """Reject a header, trailer or chunk extension that does not end.
 
@@ -328,6 +360,12 @@
 
     def on_headers_complete(self) -> None:
         self._is_head_complete = True
+        if self._parser.get_method() == b"CONNECT":
+            # Its target is no path, so it matches no route; bytes that follow it belong
+            # to a tunnel and are no requests.
+            raise _RejectedError(HTTPStatus.NOT_FOUND, "connect")
+        if self._parser.should_upgrade():
+            return
         host_count = sum(name == b"host" for name, _ in self._headers)
         if host_count != 1:
             raise _RejectedError(HTTPStatus.BAD_REQUEST, "host_header")
@@ -356,6 +394,9 @@
 
     def on_message_complete(self) -> None:
         self._has_parsed = True
+        if self._parser.should_upgrade():
+            # The body has not been read; see ``_parse``.
+            return
         self._message_start_ms = None
         self._request_count += 1
         request = HttpRequest(
--- a/packages/cuminbendd/src/cuminbendd/http1/tests/test_server.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/tests/test_server.py
@@ -19,8 +19,8 @@
     responder.respond(HttpResponse(200, [], request.target + b"|" + request.body))
 
 
-async def send_and_receive(data: bytes, *, handler: object = echo) -> bytes:
-    """Send bytes and return all bytes received until the server closes."""
+async def send_and_receive(*pieces: bytes, handler: object = echo) -> bytes:
+    """Send pieces and return all bytes received until the server closes."""
     server = HttpServer(
         handler=handler,  # type: ignore[arg-type]
         clock=SystemClock(),
@@ -28,7 +28,9 @@
     )
     await server.start("127.0.0.1", 0)
     reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
-    writer.write(data)
+    for piece in pieces:
+        writer.write(piece)
+        await asyncio.sleep(0)
     received = await reader.read(-1)
     writer.close()
     server.close()
@@ -123,6 +125,48 @@
     assert answer.index(b"/1|") < answer.index(b"/2|")
 
 
+UPGRADE = "/a HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 10_000])
+@pytest.mark.parametrize(
+    ("first", "body"),
+    [
+        (f"GET {UPGRADE}\r\n", b""),
+        (f"PUT {UPGRADE}Content-Length: 3\r\n\r\nabc", b"abc"),
+        (
+            f"PUT {UPGRADE}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            b"abc",
+        ),
+    ],
+)
+def test_request_to_upgrade_is_answered_in_http1(
+    first: str, body: bytes, piece_bytes: int
+) -> None:
+    """Guards against a body that is lost, and a response that belongs to no request.
+
+    Such a request was handled without its body, and its answer was followed by a 400
+    on the same connection.
+    """
+    data = first.encode() + encode_request("GET /b HTTP/1.1")
+    pieces = [
+        data[start : start + piece_bytes] for start in range(0, len(data), piece_bytes)
+    ]
+    received = run_with_timeout(send_and_receive(*pieces))
+    bodies = [part.rpartition(b"\r\n\r\n")[2] for part in received.split(b"HTTP/1.1 ")]
+    assert bodies == [b"", b"/a|" + body, b"/b|"]
+    assert received.count(b"200 OK") == 2
+
+
+def test_request_for_a_tunnel_gets_one_response() -> None:
+    """Guards against a response that belongs to no request: a 404 came before a 400."""
+    received = run_with_timeout(
+        send_and_receive(b"CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\n\r\n")
+    )
+    assert received.startswith(b"HTTP/1.1 404 ")
+    assert received.count(b"HTTP/1.1") == received.count(b"Connection: close") == 1
+
+
 def test_request_of_a_failing_handler_is_answered() -> None:
     """Guards against a caller that gets no answer if the handler raises an error."""
 
