Select the route by the host, whatever form a request writes it in

Callers saw: 404 for Host: NAME:80, for a host in upper case, and for a target in absolute form, though a route of that host exists.

Cause: the Host header was compared byte by byte with the host of the route, and the target was taken for a path. RFC 9110, section 4.2.3, makes these forms the same, and RFC 9112, section 3.2.2, asks servers to accept the absolute form.

Change: hosts are compared in lower case and without the default port. The authority of an absolute target replaces the Host header, and upstreams get the path only. Hosts that are the same in this sense are the same in the check for routes that share host and prefix, and in the fingerprint of a request.

--- a/packages/cuminbend/src/cuminbend/forwarding/__init__.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/__init__.py
@@ -12,6 +12,7 @@
     merge_greatest_records,
 )
 from cuminbend.forwarding._hedging import HedgeDelay
+from cuminbend.forwarding._hosts import canonical_host
 from cuminbend.forwarding._recovery import RecoveryEstimate, RecoverySettings
 from cuminbend.forwarding._replicas import (
     PlacementSettings,
@@ -62,6 +63,7 @@
     "WeightedRoundRobin",
     "WeightedService",
     "admission_probability",
+    "canonical_host",
     "check_routing_table",
     "merge_greatest_records",
     "parse_limit",
--- a/packages/cuminbend/src/cuminbend/forwarding/_routes.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_routes.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from cuminbend.exceptions import ConfigurationError
+from cuminbend.forwarding._hosts import canonical_host
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,11 +106,14 @@
 
     def __post_init__(self) -> None:
         for route in self.routes:
-            self._routes_by_host.setdefault(route.host, {})[route.path_prefix] = route
+            host = canonical_host(route.host)
+            self._routes_by_host.setdefault(host, {})[route.path_prefix] = route
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of ``path``, or None."""
         prefixes = self._routes_by_host.get(host)
+        if prefixes is None:
+            prefixes = self._routes_by_host.get(canonical_host(host))
         if prefixes is None:
             return None
         end = len(path)
@@ -128,7 +132,9 @@
         ConfigurationError: If a constraint is violated, with one problem for each.
     """
     problems = [*_service_problems(table)]
-    prefix_counts = Counter((route.host, route.path_prefix) for route in table.routes)
+    prefix_counts = Counter(
+        (canonical_host(route.host), route.path_prefix) for route in table.routes
+    )
     problems += [
         f"two routes share host {host!r} and prefix {prefix!r}; remove one of them"
         for (host, prefix), count in prefix_counts.items()
--- a/packages/cuminbend/src/cuminbend/forwarding/tests/test_routes.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/tests/test_routes.py
@@ -54,10 +54,33 @@
     assert table.find_route("unknown", path) is None
 
 
+@pytest.mark.parametrize(
+    ("host", "is_found"),
+    [
+        ("Name.Example", True),
+        ("name.example:80", True),
+        ("NAME.EXAMPLE:", True),
+        ("[::1]:80", True),
+        ("name.example:8080", False),
+        ("name.example.org", False),
+        ("", False),
+    ],
+)
+def test_host_is_compared_without_case_and_default_port(
+    host: str, is_found: bool
+) -> None:
+    """Guards against a 404 for callers whose library writes the port or upper case."""
+    table = make_table(
+        *(replace(ROUTE, host=name) for name in ("name.Example", "[::1]"))
+    )
+    assert (table.find_route(host, "/a/x") is not None) == is_found
+
+
 @pytest.mark.parametrize(
     ("routes", "problem"),
     [
         ((ROUTE, replace(ROUTE, name="r2")), "share host"),
+        ((ROUTE, replace(ROUTE, host="H:80")), "share host"),
         ((replace(ROUTE, timeout_ms=0),), "timeout must be above 0"),
         ((replace(ROUTE, backends=(WeightedService("x", 1.0),)),), "unknown service"),
         ((replace(ROUTE, backends=(WeightedService("s", 0.0),)),), "add up to 0"),
--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -18,6 +18,7 @@
     Route,
     RoutingTable,
     WeightedRoundRobin,
+    canonical_host,
     retry_after_ms,
 )
 
@@ -240,7 +241,7 @@
             body=request.body,
             request_id=request.header(header_names.request_id) or b"",
             fingerprint=compute_fingerprint(
-                ((request.header(b"host") or b"") + request.target).decode("latin-1"),
+                canonical_host(request.host) + request.target.decode("latin-1"),
                 request.body,
             ),
             header_names=header_names,
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -221,8 +221,7 @@
                 )
             )
             return
-        host = (request.header(b"host") or b"").decode("latin-1")
-        route = table.find_route(host, request.path)
+        route = table.find_route(request.host, request.path)
         if route is None:
             logger.info(
                 "event=request_ended request=%s outcome=no_route status=404 host=%s "
@@ -230,7 +229,7 @@
                 (request.header(context.header_names.request_id) or b"").decode(
                     "latin-1"
                 ),
-                host,
+                request.host,
                 request.path,
                 table.version,
             )
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/_harness.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/_harness.py
@@ -250,11 +250,13 @@
         deadline_ms: int = 1500,
         body: bytes = b"",
         headers: str = "",
+        host: str = "h",
     ) -> Answer:
         """Send one request and return the answer, which may be incomplete."""
         reader, writer = await self.connect()
         writer.write(
-            f"{method} {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request_id}\r\n"
+            f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
+            f"X-Request-Id: {request_id}\r\n"
             f"X-Deadline-Ms: {deadline_ms}\r\nContent-Length: {len(body)}\r\n"
             f"{headers}\r\n".encode()
             + body
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_single.py
@@ -73,6 +73,28 @@
     run(test)
 
 
+@pytest.mark.parametrize("host", ["H", "h:80"])
+@pytest.mark.parametrize("scheme_and_host", ["", "http://h", "HTTP://H:80"])
+def test_forms_of_the_host_select_the_same_route(
+    host: str, scheme_and_host: str
+) -> None:
+    """Guards against a 404 for a proper request, and an absolute path at upstreams."""
+    upstream = FakeUpstream("u1", "s")
+
+    async def test() -> None:
+        async with EntryHarness(upstream) as harness:
+            answer = await harness.send_request(
+                host=host, path=f"{scheme_and_host}/r/x?q=1"
+            )
+            assert answer.status == 200
+            seen = upstream.seen[0]
+            assert seen.target == b"/r/x?q=1"
+            sent_host = scheme_and_host.rpartition("//")[2] or host
+            assert seen.headers[b"host"] == sent_host.encode()
+
+    run(test)
+
+
 def test_response_is_returned_unchanged() -> None:
     """Guards against a signature, body or status changed on the way back."""
 
--- a/packages/cuminbendd/src/cuminbendd/http1/_messages.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/_messages.py
@@ -18,7 +18,8 @@
     """A request that was read in full.
 
     Attributes:
-        target: Path and query as sent.
+        target: Path and query as sent, without the scheme and host of an absolute
+            target; these replace the ``Host`` header.
         headers: Names in lower case, values as sent.
         received_ms: Monotonic time at which the request was complete.
         travel_ms: Network time that the caller spends on the request outside this
@@ -42,6 +43,11 @@
         """The query string without the question mark; empty if there is none."""
         return self.target.partition(b"?")[2]
 
+    @property
+    def host(self) -> str:
+        """Value of the ``Host`` header; empty if there is none."""
+        return (self.header(b"host") or b"").decode("latin-1")
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given in lower case, or None."""
         for key, value in self.headers:
--- a/packages/cuminbendd/src/cuminbendd/http1/_server.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/_server.py
@@ -14,6 +14,7 @@
 from cuminbend.ports import Clock
 
 from cuminbendd.http1._messages import Headers, HttpRequest, HttpResponse
+from cuminbendd.http1._targets import split_absolute_target
 
 logger = logging.getLogger(__name__)
 
@@ -369,6 +370,7 @@
         host_count = sum(name == b"host" for name, _ in self._headers)
         if host_count != 1:
             raise _RejectedError(HTTPStatus.BAD_REQUEST, "host_header")
+        self._apply_absolute_target()
         limit = self._server.limits().body_bytes
         for name, value in self._headers:
             if name == b"content-length" and int(value) > limit:
@@ -377,6 +379,19 @@
                 assert self._transport is not None
                 self._transport.write(_CONTINUE_RESPONSE)
 
+    def _apply_absolute_target(self) -> None:
+        """Take the host from an absolute target, in place of the ``Host`` header."""
+        try:
+            parts = split_absolute_target(self._target)
+        except ValueError as error:
+            raise _RejectedError(HTTPStatus.BAD_REQUEST, "target") from error
+        if parts is not None:
+            authority, self._target = parts
+            self._headers = [
+                (name, authority if name == b"host" else value)
+                for name, value in self._headers
+            ]
+
     def on_body(self, body: bytes) -> None:
         self._has_parsed = True
         self._body_bytes += len(body)
--- a/packages/cuminbendd/src/cuminbendd/http1/tests/test_server.py
+++ b/packages/cuminbendd/src/cuminbendd/http1/tests/test_server.py
@@ -125,6 +125,34 @@
     assert answer.index(b"/1|") < answer.index(b"/2|")
 
 
+@pytest.mark.parametrize(
+    ("target", "expected"),
+    [
+        ("http://Other:80/a/b?q=1", b"Other:80 /a/b?q=1"),
+        ("HTTP://other", b"other /"),
+        ("http://other?q=/1", b"other /?q=/1"),
+        ("/http://other/", b"h /http://other/"),
+        ("https://other/a", b"h https://other/a"),
+        ("http://user@other/a", None),
+        ("http:///a", None),
+    ],
+)
+def test_absolute_target_names_the_host(target: str, expected: bytes | None) -> None:
+    """Guards against a 404 for callers that send the whole URL as a target."""
+
+    def show(request: HttpRequest, responder: Responder) -> None:
+        seen = f"{request.host} ".encode() + request.target
+        responder.respond(HttpResponse(200, [], seen))
+
+    received = run_with_timeout(
+        send_and_receive(encode_request(f"GET {target} HTTP/1.1"), handler=show)
+    )
+    if expected is None:
+        assert received.startswith(b"HTTP/1.1 400 ")
+    else:
+        assert received.endswith(b"\r\n\r\n" + expected)
+
+
 UPGRADE = "/a HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
 
 
