Keep the headers that the other end needs, whatever Connection names

Callers saw: 504 for a request whose Connection header names X-Request-Id, because upstreams got no id. By reading, an upstream that names its signature there would have had its success passed on without a signature.

Cause: all headers that a Connection header names were removed. A sender must not name headers there that are meant for all recipients (RFC 9110, section 7.6.1), but the other side has to expect it.

Change: id, signature, host and the headers that tell how to read a body or when to send a request again are not removed.

Evidence: test_connection_header_does_not_remove_what_the_other_end_needs failed before (no signature at the caller).

--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -47,6 +47,11 @@
     }
 )
 
+# Headers that tell where a message goes, how its body is read or when to send it again.
+_MESSAGE_HEADERS = frozenset(
+    {b"host", b"content-type", b"content-encoding", b"content-range", b"retry-after"}
+)
+
 # Time before a planned stop by which its last requests are answered.
 _STOP_MARGIN_MS = 50.0
 
@@ -54,14 +59,28 @@
 
 
 def end_to_end_headers(
-    headers: Iterable[tuple[bytes, bytes]], *, dropped: Iterable[bytes] = ()
+    headers: Iterable[tuple[bytes, bytes]],
+    *,
+    dropped: Iterable[bytes] = (),
+    kept: Iterable[bytes] = (),
 ) -> list[tuple[bytes, bytes]]:
-    """Return the headers except those of the connection and those in ``dropped``."""
+    """Return the headers that are meant for the other end of the path.
+
+    A ``Connection`` header names the headers that concern one connection. A sender must
+    not name others there (RFC 9110, section 7.6.1), so those that the other end needs
+    stay.
+
+    Args:
+        headers: Names in lower case, with values.
+        dropped: Names that are removed.
+        kept: Names that a ``Connection`` header does not remove.
+    """
     headers = list(headers)
     removed = {*_CONNECTION_HEADERS, *dropped}
     for name, value in headers:
         if name == b"connection":
-            removed.update(item.strip().lower() for item in value.split(b","))
+            named = {item.strip().lower() for item in value.split(b",")}
+            removed |= named.difference(_MESSAGE_HEADERS, kept)
     return [item for item in headers if item[0] not in removed]
 
 
@@ -232,7 +251,9 @@
         head = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
         head += [
             b"%s: %s\r\n" % item
-            for item in end_to_end_headers(request.headers, dropped=dropped)
+            for item in end_to_end_headers(
+                request.headers, dropped=dropped, kept=(header_names.request_id,)
+            )
         ]
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             head.append(b"content-length: %d\r\n" % len(request.body))
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -184,19 +184,22 @@
                 HttpResponse(HTTPStatus.BAD_GATEWAY, []), "unsigned", attempt
             )
             return
-        headers = end_to_end_headers(response.headers, dropped=header_names.statements)
-        self._send_answer(
-            HttpResponse(response.status, headers, response.body), "answered", attempt
+        self._send_answer(self._convert_response(response), "answered", attempt)
+
+    def _convert_response(self, response: UpstreamResponse) -> HttpResponse:
+        """Return the response of an upstream in the form that callers get."""
+        header_names = self._context.header_names
+        headers = end_to_end_headers(
+            response.headers,
+            dropped=header_names.statements,
+            kept=(header_names.request_id, header_names.stamp),
         )
+        return HttpResponse(response.status, headers, response.body)
 
     def _answer_failure(self, outcome: Outcome) -> None:
         """Answer after the last attempt has failed."""
         if self._last_error is not None:
-            error = self._last_error
-            headers = end_to_end_headers(
-                error.headers, dropped=self._context.header_names.statements
-            )
-            self._send_answer(HttpResponse(error.status, headers, error.body), "error")
+            self._send_answer(self._convert_response(self._last_error), "error")
         elif self._counts.possibly_run_count:
             self._send_answer(HttpResponse(HTTPStatus.BAD_GATEWAY, []), "lost")
         else:
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_single.py
@@ -95,6 +95,38 @@
     run(test)
 
 
+def test_connection_header_does_not_remove_what_the_other_end_needs() -> None:
+    """Guards against upstreams without the id, and callers without the signature.
+
+    Either side may name any header in ``Connection``.
+    """
+
+    async def reply(request: SeenRequest) -> bytes:
+        return (
+            b"HTTP/1.1 200 OK\r\nx-stamp: st\r\nx-request-id: id-1\r\n"
+            b"Connection: x-stamp, X-Request-Id, x-drop\r\nx-drop: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+
+    upstream = FakeUpstream("u1", "s", reply)
+
+    async def test() -> None:
+        async with EntryHarness(upstream) as harness:
+            answer = await harness.send_request(
+                headers="Connection: x-request-id, Host, x-deadline-ms\r\n"
+            )
+            assert answer.status == 200
+            assert answer.headers[b"x-stamp"] == b"st"
+            assert answer.headers[b"x-request-id"] == b"id-1"
+            assert b"x-drop" not in answer.headers
+            seen = upstream.seen[0].headers
+            assert seen[b"x-request-id"] == b"id-1"
+            assert seen[b"host"] == b"h"
+            assert 0 < int(seen[b"x-deadline-ms"]) <= 1500
+
+    run(test)
+
+
 def test_response_is_returned_unchanged() -> None:
     """Guards against a signature, body or status changed on the way back."""
 
