Keep the position among weighted services over configurations

Seen in looking for other state of routes that is kept or lost with a configuration: a route with weights 5, 3 and 2 sent all requests to the first service, where each instance got one request per configuration, and none to the third with two.

Cause: each configuration started the sequence of choices again at every instance, and the start of the sequence favours the greatest weight, whatever its offset.

Change: a route whose services and weights are unchanged goes on in its sequence, and a new one starts at a random position of it.

Evidence: test_first_choices_of_many_instances_follow_the_weights (3 of 3 cases, shares off by 0.06 to 0.5) and test_weights_hold_while_configurations_follow_each_other failed before.

--- a/packages/cuminbend/src/cuminbend/forwarding/_weights.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_weights.py
@@ -2,6 +2,10 @@
 
 from cuminbend.forwarding._routes import WeightedService
 
+# Positions in its sequence at which an instance may start. The first choices of many
+# instances differ from the weights by at most one in this many.
+_START_POSITIONS = 64
+
 
 class WeightedRoundRobin:
     """Smooth weighted round robin.
@@ -11,16 +15,22 @@
 
     Args:
         backends: Services with their weights; the sum of the weights is above 0.
-        offset: Share of a round, 0 to 1, by which the sequence of this instance is
-            shifted, so that instances do not all start with the same service.
+        offset: Position, 0 to 1, at which the sequence of this instance starts. With
+            random positions, the first choices of many instances follow the weights.
+            The start of the sequence alone favours the greatest weight, which counts
+            where an instance gets few requests before a change of the configuration.
     """
 
     def __init__(
         self, backends: tuple[WeightedService, ...], *, offset: float = 0.0
     ) -> None:
+        self.backends = backends
         self._backends = tuple(backend for backend in backends if backend.weight > 0)
         self._total_weight = sum(backend.weight for backend in self._backends)
-        self._current_weights = [backend.weight * offset for backend in self._backends]
+        self._current_weights = [0.0] * len(self._backends)
+        if len(self._backends) > 1:
+            for _ in range(int(offset * _START_POSITIONS)):
+                self.next_service()
 
     def next_service(self) -> str:
         """Return the name of the service that gets the next request."""
--- a/packages/cuminbend/src/cuminbend/forwarding/tests/test_routes.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/tests/test_routes.py
@@ -113,6 +113,26 @@
         assert abs(chosen.count(backend.service) - 20 * backend.weight) <= 2
 
 
+@pytest.mark.parametrize("request_count", [1, 2, 3])
+def test_first_choices_of_many_instances_follow_the_weights(request_count: int) -> None:
+    """Guards against weights that hold only where an instance gets many requests.
+
+    Each new configuration starts a sequence at each instance. With one or two requests
+    for each, the service with a weight of 0.2 got none.
+    """
+    backends = tuple(
+        WeightedService(name, weight)
+        for name, weight in zip("abc", (5, 3, 2), strict=True)
+    )
+    chosen = []
+    for number in range(200):
+        round_robin = WeightedRoundRobin(backends, offset=number / 200)
+        chosen += [round_robin.next_service() for _ in range(request_count)]
+    for backend in backends:
+        share = chosen.count(backend.service) / len(chosen)
+        assert abs(share - backend.weight / 10) < 0.03
+
+
 def test_service_with_weight_zero_gets_no_requests() -> None:
     """Guards against requests to a service that is being removed."""
     round_robin = WeightedRoundRobin(
--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -97,6 +97,19 @@
     weights: WeightedRoundRobin | None
 
 
+def _new_route_state(route: Route, known: RouteState | None) -> RouteState:
+    """Return the state of a route, with what still holds of the former one."""
+    weights = known.weights if known else None
+    if weights is None or weights.backends != route.backends:
+        weights = None
+        if route.backends:
+            weights = WeightedRoundRobin(route.backends, offset=_rng.random())
+    return RouteState(
+        hedging=known.hedging if known else HedgeDelay(objective_ms=route.objective_ms),
+        weights=weights,
+    )
+
+
 class ForwardingContext:
     """Objects that all requests of an instance share.
 
@@ -130,19 +143,15 @@
         self._route_states: dict[str, RouteState] = {}
 
     def set_table(self, table: RoutingTable) -> None:
-        """Put a configuration in force; known routes keep their hedge delay."""
-        states = {}
-        for route in table.routes:
-            weights = None
-            if route.backends:
-                weights = WeightedRoundRobin(route.backends, offset=random.random())
-            known = self._route_states.get(route.key)
-            hedging = known.hedging if known else None
-            states[route.key] = RouteState(
-                hedging=hedging or HedgeDelay(objective_ms=route.objective_ms),
-                weights=weights,
-            )
-        self._route_states = states
+        """Put a configuration in force.
+
+        Known routes keep their hedge delay, and their position among the services if
+        these have the same weights as before.
+        """
+        self._route_states = {
+            route.key: _new_route_state(route, self._route_states.get(route.key))
+            for route in table.routes
+        }
         self.table = table
 
     def can_end_before_stop(self, route: Route) -> bool:
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/_harness.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/_harness.py
@@ -172,7 +172,7 @@
         }
         fields.update(route or {})
         if "shards" not in fields:
-            fields["backends"] = (WeightedService(services[0], 1.0),)
+            fields.setdefault("backends", (WeightedService(services[0], 1.0),))
         self.route = Route(**fields)  # type: ignore[arg-type]
         self.table = RoutingTable(
             version=1,
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_updates.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_updates.py
@@ -68,6 +68,28 @@
     run(test)
 
 
+def test_weights_hold_while_configurations_follow_each_other() -> None:
+    """Guards against shares that drift where each request has another configuration."""
+
+    async def test() -> None:
+        upstreams = [FakeUpstream(name, name) for name in "abc"]
+        backends = tuple(
+            WeightedService(name, weight)
+            for name, weight in zip("abc", (5.0, 3.0, 2.0), strict=True)
+        )
+        async with EntryHarness(*upstreams, route={"backends": backends}) as harness:
+            for version in range(2, 42):
+                harness.table = replace(harness.table, version=version)
+                harness.entry.on_update(
+                    "c1", Update(is_current=True, content=b"-", version=version)
+                )
+                assert (await harness.send_request()).status == 200
+            counts = [len(upstream.seen) for upstream in upstreams]
+            assert counts == [20, 12, 8]
+
+    run(test)
+
+
 def test_rejected_callers_are_told_when_upstreams_have_registered() -> None:
     """Guards against callers who come back while the control group still recovers."""
 
