Log the version that decided about a request to one service

The line of an ended request named the configuration that was in force at the end. A request that spans a change was so shown with a version that had not decided about it; fan-outs already keep the version of their start.

--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -38,6 +38,7 @@
         self._route = route
         self._responder = responder
         self._received_ms = request.received_ms
+        self._version = context.table.version if context.table else 0
         self._state = context.route_state(route)
         self._prepared = context.prepare_request(request, route)
         self._loop = asyncio.get_running_loop()
@@ -248,7 +249,7 @@
             attempt.replica.upstream if attempt else "",
             self._hedge_count,
             ",".join(self._tried_upstreams),
-            self._context.table.version if self._context.table else 0,
+            self._version,
         )
 
     def _on_caller_left(self) -> None:
