Tell routes of one name apart in logs and metrics

Metrics and the reports made from logs added up all routes of a name, so a route that failed could not be told from the other one. A route whose name is repeated in the configuration is now labelled with its host and prefix as well.

Evidence: test_routes_of_one_name_are_counted_apart failed before.

--- a/packages/cuminbend/src/cuminbend/forwarding/_routes.py
+++ b/packages/cuminbend/src/cuminbend/forwarding/_routes.py
@@ -21,7 +21,7 @@
     """How the requests of one path prefix are forwarded.
 
     Attributes:
-        name: Label for logs and metrics; several routes may have the same one.
+        name: Name for logs and metrics; several routes may have the same one.
         host: Value of the request's ``Host`` header.
         path_prefix: Prefix of the request path; begins and ends with a slash.
         idempotent: Whether a request may run more than once.
--- a/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_fanout.py
@@ -57,7 +57,7 @@
         self._responder = responder
         self._received_ms = request.received_ms
         self._version = context.table.version if context.table else 0
-        self._hedging = context.route_state(route).hedging
+        self._state = context.route_state(route)
         self._prepared = context.prepare_request(request, route)
         self._answer_by_ms = self._received_ms + context.settings.answer_within_ms(
             route.objective_ms,
@@ -85,7 +85,7 @@
         return ShardFanOut(
             context=self._context,
             prepared=self._prepared,
-            hedging=self._hedging,
+            hedging=self._state.hedging,
             max_attempts=max_attempts,
             retry_until_ms=self._answer_by_ms,
             on_part=self._on_part,
@@ -174,7 +174,7 @@
         """Return whether to start the request; under overload by a random draw."""
         probability = admission_probability(
             capacity_wait_ms=capacity_wait_ms,
-            service_ms=self._hedging.service_ms,
+            service_ms=self._state.hedging.service_ms,
             time_left_ms=self._answer_by_ms - self._context.clock.monotonic_ms(),
             priority=self._route.priority,
         )
@@ -242,7 +242,7 @@
                 head=prepared.head,
                 body=prepared.body,
                 shards=group,
-                route=route.name,
+                route=self._state.label,
                 route_key=route.key,
                 answer_in_ms=max(0.0, answer_in_ms - _MERGE_MARGIN_MS),
                 deadline_in_ms=max(0.0, prepared.deadline_ms - now_ms - round_trip_ms),
@@ -358,7 +358,7 @@
     def _capacity_wait_ms(self) -> float:
         """Return the expected time in ms until enough shards can start the request."""
         ready_in_ms = self._context.upstreams.ready_in_ms(
-            self._route.shards, service_ms=self._hedging.service_ms
+            self._route.shards, service_ms=self._state.hedging.service_ms
         )
         return fan_out_capacity_wait_ms(
             ready_in_ms, min_coverage=self._route.min_coverage
@@ -368,7 +368,7 @@
         self._responder.respond(response)
         duration_ms = self._context.clock.monotonic_ms() - self._received_ms
         self._context.metrics.count_request(
-            route=self._route.name,
+            route=self._state.label,
             outcome=cause,
             duration_ms=duration_ms,
             coverage=self._collector.coverage,
@@ -385,7 +385,7 @@
             "duration_ms=%.1f coverage=%.3f missing=%s delegated=%d hedges=%d "
             "version=%d",
             self._request_id,
-            self._route.name,
+            self._state.label,
             cause,
             response.status,
             duration_ms,
@@ -408,7 +408,7 @@
         logger.info(
             "event=request_ended request=%s route=%s outcome=abandoned_by_caller",
             self._request_id,
-            self._route.name,
+            self._state.label,
         )
         self._stop_sending()
         for delegation in self._delegations:
--- a/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_forwarding.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -89,15 +90,20 @@
     """State of a route in this instance.
 
     Attributes:
+        label: Names the route in logs and metrics: its name, with host and prefix if
+            another route of the configuration has the same name.
         hedging: Hedge delay, computed from recent latencies.
         weights: Choice among the services of the route; None for a route with shards.
     """
 
+    label: str
     hedging: HedgeDelay
     weights: WeightedRoundRobin | None
 
 
-def _new_route_state(route: Route, known: RouteState | None) -> RouteState:
+def _new_route_state(
+    route: Route, known: RouteState | None, *, has_unique_name: bool
+) -> RouteState:
     """Return the state of a route, with what still holds of the former one."""
     weights = known.weights if known else None
     if weights is None or weights.backends != route.backends:
@@ -105,6 +111,9 @@
         if route.backends:
             weights = WeightedRoundRobin(route.backends, offset=_rng.random())
     return RouteState(
+        label=route.name
+        if has_unique_name
+        else f"{route.name}:{route.host}{route.path_prefix}",
         hedging=known.hedging if known else HedgeDelay(objective_ms=route.objective_ms),
         weights=weights,
     )
@@ -148,8 +157,13 @@
         Known routes keep their hedge delay, and their position among the services if
         these have the same weights as before.
         """
+        name_counts = Counter(route.name for route in table.routes)
         self._route_states = {
-            route.key: _new_route_state(route, self._route_states.get(route.key))
+            route.key: _new_route_state(
+                route,
+                self._route_states.get(route.key),
+                has_unique_name=name_counts[route.name] == 1,
+            )
             for route in table.routes
         }
         self.table = table
--- a/packages/cuminbendd/src/cuminbendd/entry/_instance.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_instance.py
@@ -241,7 +241,7 @@
                 (request.header(context.header_names.request_id) or b"").decode(
                     "latin-1"
                 ),
-                route.name,
+                context.route_state(route).label,
             )
             responder.respond(rejection_response(capacity_wait_ms=0.0))
             return
--- a/packages/cuminbendd/src/cuminbendd/entry/_peers.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_peers.py
@@ -21,7 +21,7 @@
         task_id: Id of the task, unique on this connection.
         request_id: Id of the caller's request.
         head: Request line and headers that every shard gets.
-        route: Name of the route.
+        route: Label of the route, for logs.
         answer_in_ms: Time after which to answer with the parts that have arrived.
         deadline_in_ms: Time after which no part is of use.
         max_attempts: Number of attempts that may run for one shard.
--- a/packages/cuminbendd/src/cuminbendd/entry/_single.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/_single.py
@@ -235,13 +235,13 @@
         self._responder.respond(response)
         duration_ms = self._context.clock.monotonic_ms() - self._received_ms
         self._context.metrics.count_request(
-            route=self._route.name, outcome=cause, duration_ms=duration_ms
+            route=self._state.label, outcome=cause, duration_ms=duration_ms
         )
         logger.info(
             "event=request_ended request=%s route=%s outcome=%s status=%d "
             "duration_ms=%.1f service=%s upstream=%s hedges=%d tried=%s version=%d",
             self._request_id,
-            self._route.name,
+            self._state.label,
             cause,
             response.status,
             duration_ms,
@@ -258,7 +258,7 @@
         logger.info(
             "event=request_ended request=%s route=%s outcome=abandoned_by_caller",
             self._request_id,
-            self._route.name,
+            self._state.label,
         )
         if self._route.idempotent:
             delay_s = self._context.settings.abandon_after_ms / 1000
--- a/packages/cuminbendd/src/cuminbendd/entry/tests/test_updates.py
+++ b/packages/cuminbendd/src/cuminbendd/entry/tests/test_updates.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import pytest
 from cuminbend.forwarding import RecoverySettings, WeightedService
 from cuminbend.registry import UpstreamState
 
@@ -68,6 +69,32 @@
     run(test)
 
 
+def test_routes_of_one_name_are_counted_apart(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against metrics and logs that add up routes of different services."""
+    labels = []
+
+    async def test() -> None:
+        async with EntryHarness(FakeUpstream("u", "s")) as harness:
+            monkeypatch.setattr(
+                harness.entry.metrics,
+                "count_request",
+                lambda route, **_: labels.append(route),
+            )
+            await harness.send_request(path="/r/x")
+            part = replace(harness.route, path_prefix="/r/b/")
+            harness.table = replace(
+                harness.table, version=2, routes=(harness.route, part)
+            )
+            harness.entry.on_update(
+                "c1", Update(is_current=True, content=b"-", version=2)
+            )
+            for path in ("/r/x", "/r/b/x"):
+                await harness.send_request(path=path)
+
+    run(test)
+    assert labels == ["r", "r:h/r/", "r:h/r/b/"]
+
+
 def test_weights_hold_while_configurations_follow_each_other() -> None:
     """Guards against shares that drift where each request has another configuration."""
 
